Serve the module on real sockets under its new name, pointcross

Renamed from vetchhoist. settings/ holds the adapter's settings decoding, used by adapter and program; core/ owns the module, clock, timers, request table and node list and serves a request from top to bottom; daemon/ is the HTTP front (axum), the store client (hyper-util), discovery, configuration and the stop.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,19 +1,19 @@
 //! Hosts instances of the decision module on the simulator's wire: standard input to standard output.
 
-mod settings;
 mod wire;
 
+use pointcross_decide::{Action, Event, Scheduler};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use vetchhoist::{Action, Event, Scheduler};
 use wire::{Record, WireError};
 
 type Instances = BTreeMap<u32, Scheduler>;
 
 fn create(seed: u64, config: &[u8], now: f64) -> Result<Scheduler, String> {
-    let settings = settings::parse(config).map_err(|e| e.to_string())?;
+    let settings =
+        pointcross_settings::parse(config).map(|parsed| parsed.decide).map_err(|e| e.to_string())?;
     Scheduler::new(settings, seed, now).map_err(|e| e.to_string())
 }
 
@@ -82,7 +82,7 @@
     match run(&mut input, &mut output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("vetchhoist-benchlink: {error}");
+            eprintln!("pointcross-benchlink: {error}");
             ExitCode::FAILURE
         }
     }
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -1,8 +1,10 @@
 //! The wire's frames: bytes to events, actions to bytes.
 
 use bytes::{Buf, BufMut, TryGetError};
+use pointcross_decide::{
+    Action, AttemptEnd, Event, ListKind, NodeEntry, NodeId, NodeState, Outcome, Request,
+};
 use std::io::{self, Read};
-use vetchhoist::{Action, AttemptEnd, Event, ListKind, NodeEntry, NodeId, NodeState, Outcome, Request};
 
 const HEADER_BYTES: usize = 16;
 /// No round comes near this; a length beyond it is a broken header, not a round.
--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -10,7 +10,7 @@
     "guarantees": {"grace_to_answer": 8}}"#;
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_vetchhoist-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pointcross-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -161,6 +161,6 @@
     let whole = frame(5000.0, &[create(3, SETTINGS), members(3), new_request(3, 77, 4.0)]);
     for length in (1..whole.len()).step_by(23) {
         let told = complaint(&run(&whole[..length]));
-        assert!(told.starts_with("vetchhoist-benchlink: offset"), "{told}");
+        assert!(told.starts_with("pointcross-benchlink: offset"), "{told}");
     }
 }
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! The life of a request round the decision module, whatever wire it came by.
+//!
+//! A front decodes its wire into a [`NewRequest`] and awaits [`Core::serve`]; a [`Transport`] carries one
+//! attempt to one node. Everything between is here: the module behind its lock, the clock, the timers, the
+//! request table and the node list. No decision is taken in this package.
+#![warn(missing_docs)]
+
+mod clock;
+mod nodes;
+mod serve;
+mod state;
+
+pub use nodes::{Member, Target};
+pub use pointcross_decide as decide;
+pub use serve::{Answer, Attempt, End, Ended, NewRequest, Report, Transport};
+pub use state::Core;
--- /dev/null
+++ b/core/src/state.rs
@@ -0,0 +1,181 @@
+//! What the schedulers' state is made of, and the one lock round it.
+
+use crate::clock::{Clock, span};
+use crate::nodes::{Member, Nodes, Target};
+use pointcross_decide::{Action, Event, ListKind, NodeState, RequestId, Scheduler, Settings, SettingsError};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::Instant;
+
+/// What the module wants done about one request.
+#[derive(Debug)]
+pub(crate) enum Order {
+    Send { target: Target, time_limit: Option<f64> },
+    Cancel { attempt: u16 },
+    Refuse { retry_after: f64 },
+    Fail,
+}
+
+/// Everything behind the lock, which no one holds across an await.
+struct State {
+    scheduler: Scheduler,
+    nodes: Nodes,
+    ready: HashMap<pointcross_decide::NodeId, bool>,
+    next_id: RequestId,
+    requests: HashMap<RequestId, mpsc::UnboundedSender<Order>>,
+    timers: BinaryHeap<Reverse<(Instant, u32)>>,
+    actions: Vec<Action>,
+}
+
+/// One scheduler: the decision module with its clock, timers, request table and node list.
+pub struct Core {
+    settings: Settings,
+    clock: Clock,
+    state: Mutex<State>,
+    timer_set: Notify,
+    follow: watch::Sender<bool>,
+}
+
+impl Core {
+    /// Builds a core that knows no nodes yet. Its timers run in [`Core::run_timers`].
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        let clock = Clock::new();
+        let state = State {
+            scheduler: Scheduler::new(settings.clone(), seed, clock.now())?,
+            nodes: Nodes::default(),
+            ready: HashMap::new(),
+            next_id: 1,
+            requests: HashMap::new(),
+            timers: BinaryHeap::new(),
+            actions: Vec::new(),
+        };
+        let (follow, _) = watch::channel(false);
+        Ok(Core { settings, clock, state: Mutex::new(state), timer_set: Notify::new(), follow })
+    }
+
+    /// What the module goes by.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Whether the list names a node that takes work.
+    pub fn can_serve(&self) -> bool {
+        self.lock().ready.values().any(|&ready| ready)
+    }
+
+    /// How many requests are open.
+    pub fn open_requests(&self) -> usize {
+        self.lock().requests.len()
+    }
+
+    /// Passes word of the nodes to the module.
+    pub fn list(&self, kind: ListKind, members: Vec<Member>) {
+        let mut state = self.lock();
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            state.ready.clear();
+        }
+        let entries: Vec<_> = members.into_iter().map(|member| state.nodes.note(member)).collect();
+        state.ready.extend(entries.iter().map(|entry| (entry.node, entry.state == NodeState::Ready)));
+        self.handle(&mut state, Event::List { kind, entries });
+    }
+
+    /// Changes each time the module asks for the list to be followed, or not.
+    pub fn follow_orders(&self) -> watch::Receiver<bool> {
+        self.follow.subscribe()
+    }
+
+    /// Feeds the module its timers as they come due; runs for as long as the core is in use.
+    pub async fn run_timers(&self) {
+        loop {
+            let next = self.lock().timers.peek().map(|Reverse((at, _))| *at);
+            match next {
+                None => self.timer_set.notified().await,
+                Some(at) => tokio::select! {
+                    () = tokio::time::sleep_until(at) => self.fire(),
+                    () = self.timer_set.notified() => {}
+                },
+            }
+        }
+    }
+
+    fn fire(&self) {
+        let mut state = self.lock();
+        while let Some(&Reverse((at, token))) = state.timers.peek()
+            && at <= Instant::now()
+        {
+            state.timers.pop();
+            self.handle(&mut state, Event::Timer { token });
+        }
+    }
+
+    /// Enters a request in the table and tells the module of it under the number it gets here.
+    pub(crate) fn arrive(
+        &self,
+        event: impl FnOnce(RequestId) -> Event,
+    ) -> (RequestId, mpsc::UnboundedReceiver<Order>) {
+        let (sender, orders) = mpsc::unbounded_channel();
+        let mut state = self.lock();
+        let id = state.next_id;
+        state.next_id += 1;
+        state.requests.insert(id, sender);
+        self.handle(&mut state, event(id));
+        (id, orders)
+    }
+
+    pub(crate) fn tell(&self, event: Event) {
+        self.handle(&mut self.lock(), event);
+    }
+
+    /// Takes a finished request out of the table.
+    pub(crate) fn forget(&self, id: RequestId) {
+        self.lock().requests.remove(&id);
+    }
+
+    pub(crate) fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// The state stays usable after a panic elsewhere: events that fit nothing known are ignored.
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the module what happened and passes its orders on, in the order in which it gave them.
+    fn handle(&self, state: &mut State, event: Event) {
+        let mut actions = std::mem::take(&mut state.actions);
+        state.scheduler.handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            let (request, order) = match action {
+                Action::Send { request, node, time_limit } => match state.nodes.target(node) {
+                    Some(target) => (request, Order::Send { target: target.clone(), time_limit }),
+                    None => continue,
+                },
+                Action::Refuse { request, retry_after } => (request, Order::Refuse { retry_after }),
+                Action::Fail { request } => (request, Order::Fail),
+                Action::Cancel { request, attempt } => (request, Order::Cancel { attempt }),
+                Action::SetTimer { after, token } => {
+                    state.timers.push(Reverse((Instant::now() + span(after), token)));
+                    self.timer_set.notify_one();
+                    continue;
+                }
+                Action::FollowList { on } => {
+                    self.follow.send_replace(on);
+                    continue;
+                }
+                Action::Log(text) => {
+                    tracing::info!("{text}");
+                    continue;
+                }
+                // The settings allow neither here, and the module asks for neither.
+                Action::Probe { .. } | Action::Message { .. } => continue,
+            };
+            if let Some(sender) = state.requests.get(&request) {
+                // The other end is gone only where the client has just left.
+                let _ = sender.send(order);
+            }
+        }
+        state.actions = actions;
+    }
+}
--- /dev/null
+++ b/daemon/src/http.rs
@@ -0,0 +1,271 @@
+//! The platform's HTTP front: axum, kept thin. A request is decoded once, handed to the core, and answered.
+
+use crate::config::Config;
+use crate::shutdown::{Phase, Shutdown};
+use crate::store::{CORRELATION_ID, Call, MOST_BODY, Store, TIME_LEFT};
+use axum::Router;
+use axum::body::{Body, to_bytes};
+use axum::extract::{Request, State};
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use pointcross_core::{Answer, Core, NewRequest};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+const CLASS: HeaderName = HeaderName::from_static("x-service-class");
+const PLAN: HeaderName = HeaderName::from_static("tier");
+const EXTRAS: HeaderName = HeaderName::from_static("io-info");
+const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
+/// A client that sends nothing for this long loses its connection.
+const IDLE: Duration = Duration::from_secs(30);
+
+/// What every connection of the front shares.
+pub struct Front {
+    core: Arc<Core>,
+    store: Arc<Store>,
+    classes: Vec<Class>,
+    plans: Vec<String>,
+    shutdown: Shutdown,
+    connections: AtomicUsize,
+    /// From so many connections on, each answer closes its own, so that newer ones find room.
+    crowded: usize,
+}
+
+struct Class {
+    name: String,
+    writes: bool,
+}
+
+/// What is wrong with a request.
+#[derive(Debug, PartialEq, thiserror::Error)]
+pub enum Malformed {
+    /// A header is missing or cannot be read.
+    #[error("{0}: missing or not readable")]
+    Header(HeaderName),
+    /// The path does not name a class, a volume and a piece of data.
+    #[error("path: wanted /class/volume/piece, the last two in 16 hex digits")]
+    Path,
+    /// The settings know no such class, or the path names another.
+    #[error("class: unknown, or not the path's")]
+    Class,
+    /// The settings know no such plan.
+    #[error("plan: unknown")]
+    Plan,
+    /// A read is a GET, a write a PUT.
+    #[error("method: not the class's")]
+    Method,
+    /// The body is over 64 KiB or broke off.
+    #[error("body: over 64 KiB, or cut short")]
+    Body,
+}
+
+impl Front {
+    /// A front on this core.
+    pub fn new(core: Arc<Core>, store: Arc<Store>, config: &Config, shutdown: Shutdown) -> Self {
+        let classes = config.parsed.classes.iter().zip(&config.parsed.decide.classes);
+        Front {
+            core,
+            store,
+            classes: classes
+                .map(|(name, class)| Class { name: name.clone(), writes: class.writes })
+                .collect(),
+            plans: config.parsed.plans.clone(),
+            shutdown,
+            connections: AtomicUsize::new(0),
+            crowded: config.budget.front * 3 / 4,
+        }
+    }
+
+    /// Decodes a request's head; its time runs from `now`.
+    fn decode(
+        &self,
+        method: &Method,
+        path: &str,
+        headers: &HeaderMap,
+        now: Instant,
+    ) -> Result<NewRequest, Malformed> {
+        let text = |name: HeaderName| {
+            let value = headers.get(&name).and_then(|value| value.to_str().ok()).map(str::trim);
+            value.ok_or(Malformed::Header(name))
+        };
+        let mut parts = path.strip_prefix('/').ok_or(Malformed::Path)?.split('/');
+        let (Some(in_path), Some(volume), Some(piece), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(Malformed::Path);
+        };
+        let name = text(CLASS)?;
+        let class = self.classes.iter().position(|class| class.name == name && name == in_path);
+        let class = class.ok_or(Malformed::Class)?;
+        let writes = self.classes[class].writes;
+        if *method != if writes { Method::PUT } else { Method::GET } {
+            return Err(Malformed::Method);
+        }
+        let plan_name = text(PLAN)?;
+        let plan = self.plans.iter().position(|plan| plan == plan_name).ok_or(Malformed::Plan)?;
+        let left = read_time(text(TIME_LEFT)?).ok_or(Malformed::Header(TIME_LEFT))?;
+        let extras = Extras::read(text(EXTRAS)?).ok_or(Malformed::Header(EXTRAS))?;
+        headers.get(CORRELATION_ID).ok_or(Malformed::Header(CORRELATION_ID))?;
+        Ok(NewRequest {
+            class: class as u16,
+            plan: plan as u16,
+            volume: read_hex(volume).ok_or(Malformed::Path)?,
+            key: read_hex(piece).ok_or(Malformed::Path)?,
+            units: extras.units,
+            shard: extras.shard,
+            volume_hosts: extras.hosts,
+            client_repeat: headers.get(REPEAT).is_some_and(|value| value == "1"),
+            writes,
+            deadline: now + left,
+        })
+    }
+
+    async fn answer(&self, request: Request) -> Result<Answer<bytes::Bytes>, Malformed> {
+        let now = Instant::now();
+        let (head, body) = request.into_parts();
+        let new = self.decode(&head.method, head.uri.path(), &head.headers, now)?;
+        let body = to_bytes(body, MOST_BODY).await.map_err(|_| Malformed::Body)?;
+        let path = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
+        let correlation_id = head.headers[CORRELATION_ID].clone();
+        let call = Call { method: head.method, path, correlation_id, body };
+        Ok(self.core.serve(&*self.store, &call, new).await)
+    }
+
+    /// Whether answers close their connections: while stopping, and where connections are many.
+    fn closes(&self) -> bool {
+        self.shutdown.phase() != Phase::Running || self.connections.load(Ordering::Relaxed) > self.crowded
+    }
+}
+
+struct Extras {
+    units: f64,
+    shard: Option<u32>,
+    hosts: f64,
+}
+
+impl Extras {
+    /// Reads `units=2,shard=5,hosts=3`; shard -1 is a new object's.
+    fn read(text: &str) -> Option<Extras> {
+        let value = |name: &str| {
+            let fields = text.split(',').filter_map(|field| field.split_once('='));
+            fields.map(|(key, value)| (key.trim(), value.trim())).find(|(key, _)| *key == name)
+        };
+        let units = value("units")?.1.parse().ok().filter(|units: &f64| units.is_finite() && *units > 0.0)?;
+        let shard: i64 = value("shard")?.1.parse().ok().filter(|&shard| shard >= -1)?;
+        let hosts =
+            value("hosts")?.1.parse().ok().filter(|hosts: &f64| hosts.is_finite() && *hosts >= 1.0)?;
+        let shard = if shard < 0 { None } else { Some(u32::try_from(shard).ok()?) };
+        Some(Extras { units, shard, hosts })
+    }
+}
+
+/// Reads a time such as `480m` (milliseconds) or `480000u` (microseconds).
+fn read_time(text: &str) -> Option<Duration> {
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let per_second = match unit {
+        "m" => 1e3,
+        "u" => 1e6,
+        _ => return None,
+    };
+    // A century is more than any client waits, and still adds up with the clock.
+    let seconds = number.parse::<f64>().ok()? / per_second;
+    (0.0..3.2e9).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
+}
+
+/// Reads 16 hex digits.
+fn read_hex(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
+async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
+    let ready = front.shutdown.phase() == Phase::Running && front.core.can_serve();
+    if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
+
+async fn take(State(front): State<Arc<Front>>, request: Request) -> Response {
+    let mut response = match front.answer(request).await {
+        Ok(Answer::Served(body)) => Body::from(body).into_response(),
+        Ok(Answer::Refused { retry_after }) => {
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            (StatusCode::TOO_MANY_REQUESTS, [(header::RETRY_AFTER, seconds)]).into_response()
+        }
+        Ok(Answer::Failed) => StatusCode::BAD_GATEWAY.into_response(),
+        Err(malformed) => (StatusCode::BAD_REQUEST, malformed.to_string()).into_response(),
+    };
+    if front.closes() {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// The front's routes.
+pub fn router(front: Arc<Front>) -> Router {
+    Router::new().route("/-/ready", get(ready)).fallback(take).with_state(front)
+}
+
+/// Accepts connections until the stop is far enough, then ends when every connection has.
+pub async fn accept(listener: TcpListener, front: Arc<Front>, most: usize) {
+    let room = Arc::new(Semaphore::new(most));
+    let tracker = TaskTracker::new();
+    let shutdown = front.shutdown.clone();
+    let routes = router(front.clone());
+    let accepting = async {
+        loop {
+            // The semaphore is never closed.
+            let Ok(permit) = room.clone().acquire_owned().await else { return };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let serving = connection(stream, routes.clone(), front.clone());
+                    tracker.spawn(async move {
+                        serving.await;
+                        drop(permit);
+                    });
+                }
+                Err(error) => {
+                    // Out of descriptors, or a connection that died in the queue.
+                    tracing::warn!(%error, "accept");
+                    tokio::time::sleep(Duration::from_millis(5)).await;
+                }
+            }
+        }
+    };
+    tokio::select! {
+        () = accepting => {}
+        () = shutdown.reached(Phase::Draining) => {}
+    }
+    drop(listener);
+    tracker.close();
+    tracker.wait().await;
+}
+
+async fn connection(stream: TcpStream, routes: Router, front: Arc<Front>) {
+    let _ = stream.set_nodelay(true);
+    front.connections.fetch_add(1, Ordering::Relaxed);
+    let mut server = http1::Builder::new();
+    server.timer(TokioTimer::new()).header_read_timeout(IDLE);
+    let serving = server.serve_connection(TokioIo::new(stream), TowerToHyperService::new(routes));
+    tokio::pin!(serving);
+    let ended = tokio::select! {
+        ended = &mut serving => ended,
+        () = front.shutdown.reached(Phase::Draining) => {
+            // Idle connections close now, the others with their answer.
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    front.connections.fetch_sub(1, Ordering::Relaxed);
+    if let Err(error) = ended {
+        tracing::debug!(%error, "client connection");
+    }
+}
--- /dev/null
+++ b/daemon/src/store.rs
@@ -0,0 +1,143 @@
+//! The storage nodes' side: one attempt is one HTTP request to one node.
+
+use crate::config::Config;
+use bytes::Bytes;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use pointcross_core::{Attempt, End, Ended, Report, Transport};
+use std::error::Error;
+use std::time::Duration;
+use tokio::sync::Semaphore;
+
+/// A body holds at most this much.
+pub const MOST_BODY: usize = 64 * 1024;
+/// A request's id, from its client to its node.
+pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
+/// How long the sender will wait.
+pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
+const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
+const ELSEWHERE: HeaderName = HeaderName::from_static("other-hosts");
+const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
+
+/// A request as a node gets it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// GET or PUT.
+    pub method: Method,
+    /// As the client wrote it.
+    pub path: PathAndQuery,
+    /// As the client wrote it.
+    pub correlation_id: HeaderValue,
+    /// Empty for a read.
+    pub body: Bytes,
+}
+
+/// The client for all nodes.
+pub struct Store {
+    client: Client<HttpConnector, Full<Bytes>>,
+    room: Semaphore,
+    report_names: Vec<String>,
+}
+
+impl Store {
+    /// A client within the configuration's limits; it holds no connection yet.
+    pub fn new(config: &Config) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let connect_time = config.parsed.decide.connect_time;
+        connector.set_connect_timeout((connect_time > 0.0).then(|| millis(connect_time)));
+        let mut builder = Client::builder(TokioExecutor::new());
+        // A resend by the library would be an attempt that nobody decided on, and a write could run twice.
+        builder.retry_canceled_requests(false);
+        // A node closes idle connections at its keepalive; what is written to one from then on is lost.
+        let idle = (config.parsed.keepalive > 0.0).then(|| millis(config.parsed.keepalive * 0.8));
+        builder.pool_timer(TokioTimer::new()).pool_idle_timeout(idle);
+        builder.pool_max_idle_per_host(config.budget.idle_per_node);
+        Store {
+            client: builder.build(connector),
+            room: Semaphore::new(config.budget.attempts),
+            report_names: config.parsed.decide.report_names.clone(),
+        }
+    }
+
+    fn report(&self, headers: &HeaderMap) -> Report {
+        let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        Report {
+            elsewhere: text(ELSEWHERE).and_then(|units| units.trim().parse().ok()).unwrap_or(0.0),
+            load: text(LOAD).and_then(|load| read_load(load, &self.report_names)).unwrap_or_default(),
+        }
+    }
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX)
+}
+
+/// Reads `TEXT inflight=7, queue=2` into the values of these names, in their order.
+fn read_load(text: &str, names: &[String]) -> Option<Vec<f32>> {
+    let fields = text.trim().strip_prefix("TEXT")?;
+    let value = |name: &String| {
+        fields
+            .split(',')
+            .filter_map(|field| field.split_once('='))
+            .find_map(|(key, value)| (key.trim() == name).then(|| value.trim().parse().ok()).flatten())
+    };
+    names.iter().map(value).collect()
+}
+
+/// Whether the library gave the request up before a byte of it was written.
+fn never_written(error: &hyper_util::client::legacy::Error) -> bool {
+    let cause = error.source().and_then(|cause| cause.downcast_ref::<hyper::Error>());
+    error.is_connect() || cause.is_some_and(hyper::Error::is_canceled)
+}
+
+impl Transport for Store {
+    type Call = Call;
+    type Answer = Bytes;
+
+    async fn attempt(&self, attempt: Attempt, call: &Call) -> Ended<Bytes> {
+        let Ok(_room) = self.room.try_acquire() else {
+            tracing::warn!("no room for another attempt");
+            return End::NotSent.into();
+        };
+        let uri = http::Uri::builder()
+            .scheme("http")
+            .authority(attempt.target.address.to_string())
+            .path_and_query(call.path.clone())
+            .build()
+            .expect("an address and a path make a URI");
+        let mut request = http::Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = uri;
+        let headers = request.headers_mut();
+        headers.insert(CORRELATION_ID, call.correlation_id.clone());
+        let left = format!("{}u", attempt.time_left.as_micros());
+        headers.insert(TIME_LEFT, HeaderValue::try_from(left).expect("digits and a letter"));
+        if call.method == Method::PUT && call.body.is_empty() {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
+        }
+        let response = match self.client.request(request).await {
+            Ok(response) => response,
+            Err(error) => {
+                tracing::debug!(%error, cause = ?error.source(), node = attempt.target.name, "attempt");
+                return if never_written(&error) { End::NoConnection } else { End::Reset }.into();
+            }
+        };
+        let (head, body) = response.into_parts();
+        let report = self.report(&head.headers);
+        let never_ran = head.headers.get(UNPROCESSED).is_some_and(|value| value == "1");
+        let end = match (Limited::new(body, MOST_BODY).collect().await, head.status) {
+            // The answer's head already proves it, whatever became of the body.
+            (_, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT) if never_ran => {
+                End::TurnedAway
+            }
+            (Ok(body), StatusCode::OK) => End::Served(body.to_bytes()),
+            (Err(error), _) if !error.is::<LengthLimitError>() => End::Reset,
+            _ => End::Error,
+        };
+        Ended { end, report }
+    }
+}
--- a/benchlink/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,7 +1,9 @@
-//! The first message's JSON, turned into the module's settings. Unknown keys are skipped.
+//! The platform's settings, as JSON, turned into the module's settings and the few figures that a program
+//! on sockets needs beside them. Unknown keys are skipped.
+#![warn(missing_docs)]
 
+use pointcross_decide::{Budget, Class, Group, Plan, Repeat, ReportSource, Rules, Settings};
 use serde::Deserialize;
-use vetchhoist::{Budget, Class, Group, Plan, Repeat, ReportSource, Rules, Settings};
 
 #[derive(Deserialize)]
 #[serde(default)]
@@ -9,6 +11,7 @@
     me: u32,
     instances: u32,
     locality: u8,
+    localities: Vec<String>,
     resolution: f64,
     classes: Vec<WireClass>,
     service_levels: Vec<WirePlan>,
@@ -26,6 +29,7 @@
             me: 0,
             instances: 1,
             locality: 0,
+            localities: Vec::new(),
             resolution: 1.0,
             classes: Vec::new(),
             service_levels: Vec::new(),
@@ -41,6 +45,8 @@
 
 #[derive(Deserialize)]
 struct WireClass {
+    #[serde(default)]
+    name: String,
     aim: f64,
     give_up: f64,
     #[serde(default)]
@@ -61,6 +67,7 @@
 #[derive(Deserialize)]
 #[serde(default)]
 struct WirePlan {
+    name: String,
     base_rate: f64,
     reservation: f64,
     weight: f64,
@@ -73,6 +80,7 @@
 impl Default for WirePlan {
     fn default() -> Self {
         WirePlan {
+            name: String::new(),
             base_rate: 0.0,
             reservation: 0.0,
             weight: 1.0,
@@ -105,6 +113,7 @@
 struct WireLimits {
     cancelling: bool,
     connect_timeout: f64,
+    keepalive: f64,
     max_attempts: u32,
     max_retry_after: f64,
     may_tell: bool,
@@ -118,6 +127,7 @@
         WireLimits {
             cancelling: false,
             connect_timeout: 0.0,
+            keepalive: 0.0,
             max_attempts: 1,
             max_retry_after: 0.0,
             may_tell: false,
@@ -165,9 +175,26 @@
     Word(&'static str, String),
 }
 
-/// Reads the settings text of a `Create`.
-pub fn parse(text: &[u8]) -> Result<Settings, SettingsTextError> {
+/// The settings, decoded once.
+#[derive(Clone, Debug)]
+pub struct Parsed {
+    /// What the decision module goes by.
+    pub decide: Settings,
+    /// The classes' names, by number.
+    pub classes: Vec<String>,
+    /// The plans' names, by number.
+    pub plans: Vec<String>,
+    /// The zones' names, by number.
+    pub zones: Vec<String>,
+    /// A node closes a connection that was idle for so many milliseconds.
+    pub keepalive: f64,
+}
+
+/// Reads the settings from their text.
+pub fn parse(text: &[u8]) -> Result<Parsed, SettingsTextError> {
     let wire: WireSettings = serde_json::from_slice(text)?;
+    let names = wire.classes.iter().map(|class| class.name.clone()).collect();
+    let plans = wire.service_levels.iter().map(|plan| plan.name.clone()).collect();
     let family = wire.family_info;
     let rules = wire.guarantees;
     let mut classes = Vec::with_capacity(wire.classes.len());
@@ -203,7 +230,7 @@
             share: share.unwrap_or(0.0),
         }),
     };
-    Ok(Settings {
+    let decide = Settings {
         host: wire.me,
         hosts: wire.instances,
         zone: wire.locality,
@@ -260,7 +287,8 @@
         shards: family.slots_total,
         tells_elsewhere: family.tells_elsewhere,
         probe_price: wire.charges.probe,
-    })
+    };
+    Ok(Parsed { decide, classes: names, plans, zones: wire.localities, keepalive: wire.limits.keepalive })
 }
 
 #[cfg(test)]
@@ -270,12 +298,14 @@
     #[test]
     fn unknown_keys_are_skipped_and_known_ones_read() {
         let text = br#"{"novel": [1, {"x": 2}], "me": 2, "instances": 5, "discovery": "on_request",
-            "classes": [{"aim": 200, "give_up": 900.5, "repeat": "keyed", "group": "zone",
+            "classes": [{"name": "put", "aim": 200, "give_up": 900.5, "repeat": "keyed", "group": "zone",
                 "fifo_by_key": true, "newer": null}],
             "service_levels": [{"base_rate": 3.5, "cap": 9}],
             "guarantees": {"min_extra": 4, "further_ratio": 0.1, "extra_window": 1000},
-            "limits": {"retry_after": false, "max_retry_after": 500}}"#;
-        let settings = parse(text).unwrap();
+            "limits": {"keepalive": 15000, "retry_after": false, "max_retry_after": 500}}"#;
+        let parsed = parse(text).unwrap();
+        assert_eq!((parsed.classes, parsed.keepalive), (vec!["put".to_owned()], 15000.0));
+        let settings = parsed.decide;
         assert_eq!((settings.host, settings.hosts, settings.ask_for_list), (2, 5, true));
         assert_eq!(settings.classes[0].repeat, Repeat::Keyed);
         assert_eq!(settings.classes[0].group, Group::Zone);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use vetchhoist::*;
+use pointcross_decide::*;
 
 #[test]
 fn a_request_that_fits_is_sent_at_once() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{class, plan, settings};
+use pointcross_decide::*;
 use std::collections::BTreeMap;
-use vetchhoist::*;
 
 struct Sent {
     node: NodeId,
