--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -2,11 +2,14 @@
 //! the operator's file. Each fault names its key.
 
 use crate::discovery::{List, ListError};
+use crate::nbd::{Export, ExportClass, NbdConfig};
+use crate::store::MOST_BODY;
 use pointcross_settings::{Parsed, SettingsTextError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 use std::{fs, io};
 
 /// The environment variable that names the operator's file.
@@ -31,6 +34,8 @@
     pub known: List,
     /// How the descriptors are dealt out.
     pub budget: Budget,
+    /// The second front, where the operator's file turns it on.
+    pub nbd: Option<NbdConfig>,
 }
 
 /// The descriptors that each side may hold; together they stay under the limit.
@@ -47,8 +52,8 @@
 impl Budget {
     /// Clients get three fifths: they hold one connection for each open request, and the module keeps far
     /// fewer than that out at the nodes.
-    fn of(sockets: usize, nodes: usize) -> Self {
-        let free = sockets.saturating_sub(OWN_SOCKETS).max(10);
+    fn of(sockets: usize, nodes: usize, nbd: usize) -> Self {
+        let free = sockets.saturating_sub(OWN_SOCKETS + nbd).max(10);
         let store = free * 2 / 5;
         let attempts = store * 2 / 3;
         let idle_per_node = ((store - attempts) / nodes.max(24)).max(1);
@@ -119,6 +124,130 @@
     }
 }
 
+/// The operator's file, as it is written. Keys that it does not know are faults, not to be passed over.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Operator {
+    nbd: Option<OperatorNbd>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorNbd {
+    listen: String,
+    #[serde(default = "ten_seconds")]
+    negotiation_ms: u64,
+    #[serde(default = "eight")]
+    most_sessions: usize,
+    export: Vec<OperatorExport>,
+}
+
+fn ten_seconds() -> u64 {
+    10_000
+}
+
+fn eight() -> usize {
+    8
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorExport {
+    name: String,
+    volume: String,
+    plan: String,
+    hosts: u32,
+    shard: u32,
+    size: u64,
+    block_size: u32,
+    #[serde(default = "one")]
+    units: f64,
+    read_class: String,
+    write_class: Option<String>,
+}
+
+impl OperatorNbd {
+    fn check(self, parsed: &Parsed) -> Result<NbdConfig, ConfigError> {
+        if self.negotiation_ms == 0 {
+            return Err(bad("nbd.negotiation_ms", "no time at all"));
+        }
+        if self.most_sessions == 0 {
+            return Err(bad("nbd.most_sessions", "no session at all"));
+        }
+        if self.export.is_empty() {
+            return Err(bad("nbd.export", "none is named"));
+        }
+        let mut exports: Vec<Export> = Vec::new();
+        for export in self.export {
+            if exports.iter().any(|other| other.name == export.name) {
+                return Err(bad("nbd.export.name", format!("{:?} stands twice", export.name)));
+            }
+            exports.push(export.check(parsed)?);
+        }
+        Ok(NbdConfig {
+            listen: address("nbd.listen", &self.listen)?,
+            negotiation_time: Duration::from_millis(self.negotiation_ms),
+            most_sessions: self.most_sessions,
+            exports,
+        })
+    }
+}
+
+impl OperatorExport {
+    fn check(self, parsed: &Parsed) -> Result<Export, ConfigError> {
+        let fault =
+            |key: &str, text: String| bad(&format!("nbd.export.{key}"), format!("{:?}: {text}", self.name));
+        if self.name.len() > 255 {
+            return Err(fault("name", "over 255 bytes".into()));
+        }
+        let volume = u64::from_str_radix(&self.volume, 16).map_err(|e| fault("volume", e.to_string()))?;
+        let plan = parsed.plans.iter().position(|plan| *plan == self.plan);
+        let plan = plan.ok_or_else(|| fault("plan", format!("the settings know no {:?}", self.plan)))?;
+        let class = |key: &str, name: &str, writes: bool| {
+            let number = parsed.classes.iter().position(|class| class == name);
+            let number = number.ok_or_else(|| fault(key, format!("the settings know no {name:?}")))?;
+            let class = &parsed.decide.classes[number];
+            let path = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte));
+            if !path || class.writes != writes {
+                return Err(fault(key, format!("{name:?} does not serve here")));
+            }
+            let deadline = Duration::try_from_secs_f64(class.deadline / 1000.0);
+            let deadline = deadline.map_err(|e| fault(key, e.to_string()))?;
+            Ok(ExportClass { number: number as u16, name: name.to_owned(), deadline })
+        };
+        if !self.block_size.is_power_of_two() || !(512..=MOST_BODY as u32).contains(&self.block_size) {
+            return Err(fault("block_size", "not a power of two from 512 to 65536".into()));
+        }
+        if self.size == 0 || !self.size.is_multiple_of(u64::from(self.block_size)) {
+            return Err(fault("size", "not a whole number of blocks".into()));
+        }
+        if self.hosts == 0 {
+            return Err(fault("hosts", "none at all".into()));
+        }
+        if !(self.units > 0.0 && self.units <= parsed.decide.most_units.max(1.0)) {
+            return Err(fault("units", "not within the settings' largest request".into()));
+        }
+        let read = class("read_class", &self.read_class, false)?;
+        let write = self.write_class.as_deref().map(|name| class("write_class", name, true)).transpose()?;
+        Ok(Export {
+            volume,
+            plan: plan as u16,
+            hosts: self.hosts.into(),
+            shard: self.shard,
+            size: self.size,
+            block: self.block_size,
+            units: self.units,
+            read,
+            write,
+            name: self.name,
+        })
+    }
+}
+
 impl Config {
     /// Reads the configuration of this process.
     pub fn from_environment() -> Result<Self, ConfigError> {
@@ -128,8 +257,21 @@
     /// Reads the configuration that these variables point to. A variable wins over the same key in the file.
     pub fn from_variables(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = variable("RELAY_CONFIG").ok_or(ConfigError::Missing("RELAY_CONFIG"))?;
-        let text = read("RELAY_CONFIG", path)?;
-        let file: Platform = serde_json::from_str(&text)
+        let platform = read("RELAY_CONFIG", path)?;
+        let operator = match variable(OPERATOR_FILE) {
+            Some(path) => read(OPERATOR_FILE, path)?,
+            None => String::new(),
+        };
+        Config::from_texts(variable, &platform, &operator)
+    }
+
+    /// Reads the configuration from the platform's file and the operator's, both as text.
+    pub fn from_texts(
+        variable: impl Fn(&str) -> Option<String>,
+        platform: &str,
+        operator: &str,
+    ) -> Result<Self, ConfigError> {
+        let file: Platform = serde_json::from_str(platform)
             .map_err(|error| bad("RELAY_CONFIG", format!("not its JSON: {error}")))?;
         let settings = file.settings.ok_or(ConfigError::Missing("settings"))?;
         let parsed = pointcross_settings::parse(settings.get().as_bytes())?;
@@ -146,7 +288,10 @@
             }
             None => u64::from(std::process::id()),
         };
-        let budget = Budget::of(file.limits.sockets, known.members.len() * 2);
+        let operator: Operator = toml::from_str(operator).map_err(|error| bad(OPERATOR_FILE, error))?;
+        let nbd = operator.nbd.map(|nbd| nbd.check(&parsed)).transpose()?;
+        let nbd_sockets = nbd.as_ref().map_or(0, |nbd| nbd.most_sessions);
+        let budget = Budget::of(file.limits.sockets, known.members.len() * 2, nbd_sockets);
         Ok(Config {
             name: variable("RELAY_NAME").or(file.name).unwrap_or_else(|| "pointcross".to_owned()),
             listen: address("RELAY_LISTEN", &listen)?,
@@ -155,6 +300,7 @@
             parsed,
             known,
             budget,
+            nbd,
         })
     }
 }
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -246,7 +246,11 @@
     }
     drop(listener);
     tracker.close();
-    tracker.wait().await;
+    // What was taken is over by its deadline; a client that is still sending then has lost nothing.
+    let classes = &front.core.settings().classes;
+    let longest = classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+    let patience = Duration::from_secs_f64(longest / 1000.0 + 0.2);
+    let _ = tokio::time::timeout(patience, tracker.wait()).await;
 }
 
 async fn connection(stream: TcpStream, routes: Router, front: Arc<Front>) {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,9 +1,11 @@
-//! pointcross on real sockets, as a library: decode a [`config::Config`], then [`run`] it until told to stop.
+//! pointcross on real sockets, as a library: decode a [`config::Config`], bind a [`Daemon`]
+//! with it and run that until told to stop.
 #![warn(missing_docs)]
 
 pub mod config;
 pub mod discovery;
 pub mod http;
+pub mod nbd;
 pub mod shutdown;
 pub mod store;
 
@@ -12,6 +14,7 @@
 use pointcross_core::decide::{ListKind, SettingsError};
 use shutdown::Shutdown;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 
@@ -31,23 +34,65 @@
     },
 }
 
-/// Runs one scheduler until `shutdown` is over and everything it had taken is answered.
-pub async fn run(config: Config, shutdown: Shutdown) -> Result<(), StartError> {
-    let config = Arc::new(config);
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|error| StartError::Listen { key: "listen", error })?;
-    let core = Arc::new(Core::new(config.parsed.decide.clone(), config.seed)?);
-    let mut follow = core.follow_orders();
-    core.list(ListKind::Cached, config.known.members.clone());
-    let store = Arc::new(store::Store::new(&config));
-    let front = Arc::new(http::Front::new(core.clone(), store.clone(), &config, shutdown.clone()));
-    tracing::info!(name = config.name, listen = %config.listen, "serving");
-    tokio::select! {
-        () = core.run_timers() => {}
-        () = discovery::follow(&core, &config, &mut follow) => {}
-        () = http::accept(listener, front, config.budget.front) => {}
+/// One scheduler with its listeners bound.
+pub struct Daemon {
+    config: Config,
+    core: Arc<Core>,
+    store: Arc<store::Store>,
+    http: TcpListener,
+    nbd: Option<(nbd::NbdConfig, TcpListener)>,
+}
+
+impl Daemon {
+    /// Binds the listeners and gives the module the list as it was last known.
+    pub async fn bind(config: Config) -> Result<Self, StartError> {
+        let http = listen("listen", config.listen).await?;
+        let nbd = match config.nbd.clone() {
+            None => None,
+            Some(nbd) => Some((nbd.clone(), listen("nbd.listen", nbd.listen).await?)),
+        };
+        let core = Arc::new(Core::new(config.parsed.decide.clone(), config.seed)?);
+        let store = Arc::new(store::Store::new(&config));
+        Ok(Daemon { config, core, store, http, nbd })
+    }
+
+    /// Where HTTP clients connect.
+    pub fn http_address(&self) -> io::Result<SocketAddr> {
+        self.http.local_addr()
+    }
+
+    /// Where NBD clients connect, where that front is on.
+    pub fn nbd_address(&self) -> Option<SocketAddr> {
+        self.nbd.as_ref().and_then(|(_, listener)| listener.local_addr().ok())
     }
-    tracing::info!("stopped");
-    Ok(())
+
+    /// The core, for what is embedded beside the fronts.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Serves until `shutdown` is over and everything that was taken is answered.
+    pub async fn run(self, shutdown: Shutdown) {
+        let Daemon { config, core, store, http, nbd } = self;
+        let mut follow = core.follow_orders();
+        core.list(ListKind::Cached, config.known.members.clone());
+        let front = Arc::new(http::Front::new(core.clone(), store.clone(), &config, shutdown.clone()));
+        let nbd = async {
+            if let Some((nbd, listener)) = nbd {
+                let nbd = nbd::Nbd::new(nbd, core.clone(), store, shutdown, config.seed);
+                Arc::new(nbd).accept(listener).await;
+            }
+        };
+        tracing::info!(name = config.name, listen = %config.listen, "serving");
+        tokio::select! {
+            () = core.run_timers() => {}
+            () = discovery::follow(&core, &config, &mut follow) => {}
+            _ = async { tokio::join!(http::accept(http, front, config.budget.front), nbd) } => {}
+        }
+        tracing::info!("stopped");
+    }
+}
+
+async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.map_err(|error| StartError::Listen { key, error })
 }
--- /dev/null
+++ b/daemon/src/nbd/session.rs
@@ -0,0 +1,281 @@
+//! One NBD session from greeting to end: negotiation, then commands side by side.
+
+use super::wire::{self, ClientOption, Command, Errno, OptionError, OptionReply, Reply, Request, WireError};
+use super::{BlockError, Export, Nbd};
+use crate::shutdown::Phase;
+use bytes::{Bytes, BytesMut};
+use futures_util::FutureExt;
+use futures_util::stream::{self, StreamExt};
+use std::sync::Arc;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::task::JoinSet;
+
+/// Commands of one session that are carried out at once; the next is not read before one ends.
+const MOST_COMMANDS: usize = 16;
+/// Blocks of one command that are out at once.
+const MOST_BLOCKS: usize = 8;
+
+/// A reply on its way out. The last of a command carries the command's permit: a client that does not read
+/// its replies soon has no more commands read, while what is out at the stores ends in its own time.
+struct Outgoing {
+    bytes: Bytes,
+    _permit: Option<OwnedSemaphorePermit>,
+}
+
+type Replies = mpsc::UnboundedSender<Outgoing>;
+
+/// How a session ended.
+#[derive(Debug)]
+pub(super) enum End {
+    /// As the client asked, or with the program.
+    InOrder,
+    /// Negotiation took too long.
+    TooSlow,
+    /// The client left, or broke the protocol.
+    Broken(#[allow(dead_code, reason = "for the log")] WireError),
+}
+
+impl From<WireError> for End {
+    fn from(error: WireError) -> Self {
+        End::Broken(error)
+    }
+}
+
+impl From<std::io::Error> for End {
+    fn from(error: std::io::Error) -> Self {
+        End::Broken(error.into())
+    }
+}
+
+/// What negotiation settled.
+struct Settled {
+    export: Export,
+    structured: bool,
+}
+
+/// Runs a session to its end. Everything it holds is dropped with it.
+pub(super) async fn run<S: AsyncRead + AsyncWrite + Send + 'static>(front: &Arc<Nbd>, stream: S) -> End {
+    let (mut input, mut output) = tokio::io::split(stream);
+    let negotiation =
+        tokio::time::timeout(front.config.negotiation_time, negotiate(front, &mut input, &mut output));
+    let settled = tokio::select! {
+        settled = negotiation => match settled {
+            Err(_elapsed) => return End::TooSlow,
+            Ok(Err(error)) => return error.into(),
+            Ok(Ok(None)) => return End::InOrder,
+            Ok(Ok(Some(settled))) => settled,
+        },
+        () = front.shutdown.reached(Phase::Draining) => return End::InOrder,
+    };
+    let (replies, waiting) = mpsc::unbounded_channel();
+    let write = write_replies(output, waiting);
+    let read = transmit(front, settled, input, replies);
+    // The writer ends when every sender is gone; where it ends first, the connection broke.
+    tokio::pin!(write);
+    tokio::select! {
+        ended = read => {
+            match ended {
+                Ok(()) => write.await.map_or_else(End::from, |()| End::InOrder),
+                Err(error) => error.into(),
+            }
+        }
+        written = &mut write => written.map_or_else(End::from, |()| End::InOrder),
+    }
+}
+
+/// Options in turn until one settles the export; `None` where the client ended the session in good order.
+async fn negotiate<S: AsyncRead + AsyncWrite>(
+    front: &Nbd,
+    input: &mut ReadHalf<S>,
+    output: &mut WriteHalf<S>,
+) -> Result<Option<Settled>, WireError> {
+    output.write_all(&wire::greeting()).await?;
+    let no_zeroes = wire::read_client_flags(input).await?;
+    let mut structured = false;
+    loop {
+        let (number, option) = wire::read_option(input).await?;
+        let mut out = BytesMut::new();
+        let mut settled = None;
+        let replies = match option {
+            ClientOption::ExportName(name) => {
+                // This option knows no error: what cannot be had ends the session.
+                let export = front.export(&name).filter(|_| !front.stopping()).cloned();
+                let Some(export) = export else { return Ok(None) };
+                wire::put_export(&mut out, export.geometry(), no_zeroes);
+                settled = Some(Settled { export, structured });
+                vec![]
+            }
+            ClientOption::Abort => {
+                wire::put_option_reply(&mut out, number, &OptionReply::Ack);
+                output.write_all(&out).await?;
+                return Ok(None);
+            }
+            ClientOption::List => {
+                let names =
+                    front.config.exports.iter().map(|export| OptionReply::Server(export.name.clone()));
+                names.chain([OptionReply::Ack]).collect()
+            }
+            ClientOption::Info(_) | ClientOption::Go(_) if front.stopping() => {
+                vec![OptionReply::Error(OptionError::Shutdown)]
+            }
+            ClientOption::Info(ref name) | ClientOption::Go(ref name) => match front.export(name) {
+                None => vec![OptionReply::Error(OptionError::Unknown)],
+                Some(export) => {
+                    if matches!(option, ClientOption::Go(_)) {
+                        settled = Some(Settled { export: export.clone(), structured });
+                    }
+                    let geometry = export.geometry();
+                    vec![OptionReply::Export(geometry), OptionReply::BlockSize(geometry), OptionReply::Ack]
+                }
+            },
+            ClientOption::StructuredReply => {
+                structured = true;
+                vec![OptionReply::Ack]
+            }
+            ClientOption::Malformed => vec![OptionReply::Error(OptionError::Invalid)],
+            ClientOption::Other => vec![OptionReply::Error(OptionError::Unsupported)],
+        };
+        for reply in &replies {
+            wire::put_option_reply(&mut out, number, reply);
+        }
+        output.write_all(&out).await?;
+        if settled.is_some() {
+            return Ok(settled);
+        }
+    }
+}
+
+async fn write_replies<S: AsyncRead + AsyncWrite>(
+    mut output: WriteHalf<S>,
+    mut waiting: mpsc::UnboundedReceiver<Outgoing>,
+) -> Result<(), WireError> {
+    while let Some(reply) = waiting.recv().await {
+        output.write_all(&reply.bytes).await?;
+    }
+    Ok(output.shutdown().await?)
+}
+
+/// Reads commands and carries them out side by side. An error drops those under way: their client has left.
+async fn transmit<S: AsyncRead + AsyncWrite>(
+    front: &Arc<Nbd>,
+    settled: Settled,
+    mut input: ReadHalf<S>,
+    replies: Replies,
+) -> Result<(), WireError> {
+    let settled = Arc::new(settled);
+    let room = Arc::new(Semaphore::new(MOST_COMMANDS));
+    let mut commands = JoinSet::new();
+    loop {
+        // The semaphore is never closed.
+        let Ok(permit) = room.clone().acquire_owned().await else { break };
+        let request = tokio::select! {
+            request = wire::read_request(&mut input) => request?,
+            () = front.shutdown.reached(Phase::Draining) => break,
+        };
+        while commands.try_join_next().is_some() {}
+        if request.command == Command::Disconnect {
+            break;
+        }
+        commands.spawn(carry_out(front.clone(), settled.clone(), request, replies.clone(), permit));
+    }
+    // Whatever was taken is answered before the connection closes; a client that has closed it meanwhile has
+    // left, and nothing is carried on for it.
+    tokio::select! {
+        () = async { while commands.join_next().await.is_some() {} } => Ok(()),
+        gone = wait_for_end(&mut input) => gone,
+    }
+}
+
+/// Ends once the client has closed its side or the connection broke; what else comes is passed over.
+async fn wait_for_end(input: &mut (impl AsyncRead + Unpin)) -> Result<(), WireError> {
+    match tokio::io::copy(input, &mut tokio::io::sink()).await {
+        // A client may close its sending side after DISC and still read the replies.
+        Ok(_) => std::future::pending().await,
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// Checks a command against its export before anything of it is sent.
+fn check(front: &Nbd, export: &Export, offset: u64, command: &Command) -> Result<(), BlockError> {
+    let fault = |errno, message: &str| Err(BlockError { errno, message: message.to_owned() });
+    let (length, beyond) = match command {
+        Command::Read { length } => (u64::from(*length), Errno::Invalid),
+        Command::Write(_) if export.write.is_none() => {
+            return fault(Errno::Perm, "the export is read-only");
+        }
+        Command::Write(data) => (data.len() as u64, Errno::NoSpace),
+        Command::Disconnect | Command::Other => return fault(Errno::Invalid, "not offered here"),
+    };
+    let block = u64::from(export.block);
+    if offset % block != 0 || length % block != 0 || length == 0 {
+        return fault(Errno::Invalid, &format!("not whole blocks of {block} bytes"));
+    }
+    if offset.checked_add(length).is_none_or(|end| end > export.size) {
+        return fault(beyond, &format!("beyond the export's {} bytes", export.size));
+    }
+    if front.stopping() {
+        return fault(Errno::Shutdown, "stopping; come back when the server has restarted");
+    }
+    Ok(())
+}
+
+/// Carries out one command, every block of it as a request of its own.
+async fn carry_out(
+    front: Arc<Nbd>,
+    settled: Arc<Settled>,
+    request: Request,
+    replies: Replies,
+    permit: OwnedSemaphorePermit,
+) {
+    let Request { cookie, offset, command } = request;
+    let Settled { export, structured } = &*settled;
+    let send = |reply: &Reply| {
+        // The receiver is gone only where the connection is.
+        let _ = replies.send(Outgoing { bytes: wire::chunk(cookie, reply), _permit: None });
+    };
+    let mut whole = BytesMut::new();
+    let mut failed = None;
+    match check(&front, export, offset, &command) {
+        Err(fault) if *structured => {
+            send(&Reply::Error { offset: None, errno: fault.errno, message: fault.message });
+        }
+        Err(fault) => failed = Some(fault.errno),
+        Ok(()) => {
+            let (length, data) = match command {
+                Command::Write(data) => (data.len(), Some(data)),
+                Command::Read { length } => (length as usize, None),
+                Command::Disconnect | Command::Other => (0, None),
+            };
+            let block = export.block as usize;
+            if data.is_none() && !structured {
+                whole.resize(length, 0);
+            }
+            let mut blocks = stream::iter((0..length).step_by(block))
+                .map(|at| {
+                    let index = (offset + at as u64) / block as u64;
+                    let piece = data.as_ref().map(|data| data.slice(at..at + block));
+                    front.block(export, index, piece).map(move |result| (at, result))
+                })
+                .buffer_unordered(MOST_BLOCKS);
+            while let Some((at, result)) = blocks.next().await {
+                let offset = offset + at as u64;
+                match result {
+                    Ok(_) if data.is_some() => {}
+                    Ok(bytes) if *structured => send(&Reply::Data { offset, data: bytes }),
+                    Ok(bytes) => whole[at..at + block].copy_from_slice(&bytes),
+                    Err(BlockError { errno, message }) if *structured => {
+                        send(&Reply::Error { offset: Some(offset), errno, message });
+                    }
+                    Err(fault) => failed = Some(fault.errno),
+                }
+            }
+        }
+    }
+    let bytes = match (structured, failed) {
+        (true, _) => wire::chunk(cookie, &Reply::Done),
+        (false, None) => wire::simple_reply(cookie, Ok(&whole)),
+        (false, Some(errno)) => wire::simple_reply(cookie, Err(errno)),
+    };
+    let _ = replies.send(Outgoing { bytes, _permit: Some(permit) });
+}
