--- a/daemon/src/nbd/session.rs
+++ b/daemon/src/nbd/session.rs
@@ -208,7 +208,7 @@
         Command::Disconnect | Command::Other => return fault(Errno::Invalid, "not offered here"),
     };
     let block = u64::from(export.block);
-    if offset % block != 0 || length % block != 0 || length == 0 {
+    if !offset.is_multiple_of(block) || !length.is_multiple_of(block) || length == 0 {
         return fault(Errno::Invalid, &format!("not whole blocks of {block} bytes"));
     }
     if offset.checked_add(length).is_none_or(|end| end > export.size) {
