--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -6,6 +6,7 @@
 use axum::Router;
 use axum::body::{Body, to_bytes};
 use axum::extract::{Request, State};
+use axum::middleware::map_response_with_state;
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
 use http::uri::PathAndQuery;
@@ -194,7 +195,7 @@
 }
 
 async fn take(State(front): State<Arc<Front>>, request: Request) -> Response {
-    let mut response = match front.answer(request).await {
+    match front.answer(request).await {
         Ok(Answer::Served(body)) => Body::from(body).into_response(),
         Ok(Answer::Refused { retry_after }) => {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
@@ -202,7 +203,11 @@
         }
         Ok(Answer::Failed) => StatusCode::BAD_GATEWAY.into_response(),
         Err(malformed) => (StatusCode::BAD_REQUEST, malformed.to_string()).into_response(),
-    };
+    }
+}
+
+/// Guards against answers that leave their connection open while stopping: `/-/ready`'s did.
+async fn close_when_told(State(front): State<Arc<Front>>, mut response: Response) -> Response {
     if front.closes() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
@@ -211,7 +216,8 @@
 
 /// The front's routes.
 pub fn router(front: Arc<Front>) -> Router {
-    Router::new().route("/-/ready", get(ready)).fallback(take).with_state(front)
+    let routes = Router::new().route("/-/ready", get(ready)).fallback(take);
+    routes.layer(map_response_with_state(front.clone(), close_when_told)).with_state(front)
 }
 
 /// Accepts connections until the stop is far enough, then ends when every connection has.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod http;
 pub mod nbd;
+pub mod rpc;
 pub mod shutdown;
 pub mod store;
 
--- /dev/null
+++ b/daemon/tests/config.rs
@@ -0,0 +1,69 @@
+//! Faults in the configuration name their key.
+
+mod common;
+
+use common::{SETTINGS, operator};
+use pointcross::config::Config;
+
+fn platform() -> String {
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"8c1f","settings":{SETTINGS}}}"#
+    )
+}
+
+fn fault(platform: &str, operator: &str) -> String {
+    Config::from_texts(|_| None, platform, operator).unwrap_err().to_string()
+}
+
+#[test]
+fn defaults_and_the_environment_fill_in() {
+    let config = Config::from_texts(|_| None, &platform(), "").unwrap();
+    assert_eq!((config.name.as_str(), config.seed, config.nbd), ("n0", 0x8c1f, None));
+    let held = config.budget.front + config.budget.attempts + config.budget.idle_per_node * 24;
+    assert!(held < 1024, "{:?} is over the descriptors", config.budget);
+    let variable = |key: &str| (key == "RELAY_LISTEN").then(|| "127.0.0.1:99".to_owned());
+    assert_eq!(Config::from_texts(variable, &platform(), "").unwrap().listen.port(), 99);
+    let missing = Config::from_variables(|_| None).unwrap_err();
+    assert_eq!(missing.to_string(), "RELAY_CONFIG: not set");
+}
+
+#[test]
+fn each_fault_names_its_key() {
+    let whole = platform();
+    for (from, to, key) in [
+        ("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"here\"", "RELAY_LISTEN"),
+        ("\"discovery\":\"127.0.0.1:1\",", "", "RELAY_DISCOVERY"),
+        ("8c1f", "xyz", "seed"),
+        ("\"settings\":", "\"other\":", "settings"),
+        ("\"repeat\":\"safe\"", "\"repeat\":\"sometimes\"", "settings"),
+        (
+            "\"seed\":",
+            "\"known\":{\"revision\":1,\"members\":[{\"id\":\"a\",\"host_port\":\"b\",\"phase\":\"up\"}]},\"seed\":",
+            "known",
+        ),
+    ] {
+        assert!(whole.contains(from), "{from}");
+        let text = fault(&whole.replacen(from, to, 1), "");
+        assert!(text.starts_with(key), "{text}");
+    }
+    let whole = operator("basic", "");
+    for (from, to, key) in [
+        ("listen = \"127.0.0.1:0\"", "listen = \"here\"", "nbd.listen"),
+        ("block_size = 512", "block_size = 513", "nbd.export.block_size"),
+        ("block_size = 512", "block_size = 131072", "nbd.export.block_size"),
+        ("size = 8192", "size = 8193", "nbd.export.size"),
+        ("hosts = 1", "hosts = 0", "nbd.export.hosts"),
+        ("\"basic\"", "\"gold\"", "nbd.export.plan"),
+        ("volume = \"7\"", "volume = \"xyz\"", "nbd.export.volume"),
+        ("read_class = \"reading-get\"", "read_class = \"reading-put\"", "nbd.export.read_class"),
+        ("write_class = \"reading-put\"", "write_class = \"unheard-of\"", "nbd.export.write_class"),
+        ("hosts = 1", "hosts = 1\nunits = 7", "nbd.export.units"),
+        ("hosts = 1", "host = 1", "POINTCROSS_OPERATOR"),
+    ] {
+        assert!(whole.contains(from), "{from}");
+        let text = fault(&platform(), &whole.replacen(from, to, 1));
+        assert!(text.starts_with(key), "{text}");
+    }
+    let shipped = include_str!("../../deploy/operator.toml");
+    assert!(Config::from_texts(|_| None, &platform(), shipped).unwrap().nbd.is_some());
+}
--- /dev/null
+++ b/daemon/tests/http.rs
@@ -0,0 +1,168 @@
+//! The platform's front, the store client and the stop, on loopback.
+
+mod common;
+
+use common::*;
+use pointcross::shutdown::KEEP_ACCEPTING;
+use tokio::io::AsyncReadExt;
+use tokio::time::Instant;
+
+#[tokio::test]
+async fn a_request_passes_unchanged_and_its_answer_comes_back_unchanged() {
+    let (store, seen) = store(|_, _| ok(vec![0, 255, 7])).await;
+    let running = Running::start(store, "").await;
+    let mut stream = connect(running.http).await;
+    let answer = exchange(&mut stream, &request("reading-put", "standard", 9, 5, b"rain")).await.unwrap();
+    assert_eq!((answer.status(), answer.body), (200, vec![0, 255, 7]));
+    let (_, sent) = &seen.all()[0];
+    assert_eq!(sent.first, "PUT /reading-put/0000000000000007/0000000000000009 HTTP/1.1");
+    assert_eq!((&sent.headers["x-correlation-id"], &sent.body[..]), (&"c5".to_owned(), &b"rain"[..]));
+    let left: u64 = sent.headers["x-time-left"].trim_end_matches('u').parse().unwrap();
+    assert!((1..=7_900_000).contains(&left));
+    // The connection is kept, on both sides.
+    let again = request("reading-get", "standard", 9, 6, b"");
+    assert_eq!(exchange(&mut stream, &again).await.unwrap().status(), 200);
+    assert!(seen.all()[1].1.first.starts_with("GET /reading-get/"));
+}
+
+#[tokio::test]
+async fn what_is_malformed_gets_400_and_goes_nowhere() {
+    let (store, seen) = store(|_, _| ok("")).await;
+    let running = Running::start(store, "").await;
+    let whole = String::from_utf8(request("reading-get", "standard", 9, 5, b"")).unwrap();
+    for (from, to) in [
+        ("GET", "PUT"),
+        ("GET", "DELETE"),
+        ("X-Service-Class: reading-get", "X-Service-Class: reading-put"),
+        ("reading-get", "unheard-of"),
+        ("Tier: standard", "Tier: gold"),
+        ("X-Time-Left: 7900m", "X-Time-Left: 7900"),
+        ("X-Time-Left: 7900m", "X-Time-Left: -1m"),
+        ("X-Time-Left: 7900m", "X-Time-Left: NaNm"),
+        ("X-Time-Left: 7900m\r\n", ""),
+        ("X-Correlation-Id: c5\r\n", ""),
+        ("units=1", "units=none"),
+        ("units=1", "units=-1"),
+        (",hosts=1", ""),
+        ("shard=1", "shard=-2"),
+        ("0000000000000007", "7"),
+        ("0000000000000009", "000000000000000g"),
+        ("0000000000000009", "0000000000000009/1"),
+    ] {
+        assert!(whole.contains(from), "{from}");
+        let mut stream = connect(running.http).await;
+        let answer = exchange(&mut stream, whole.replace(from, to).as_bytes()).await.unwrap();
+        assert_eq!(answer.status(), 400, "{from} as {to}");
+        assert!(!answer.body.is_empty(), "{from}: no reason is given");
+    }
+    let large = request("reading-put", "standard", 9, 5, &vec![1; 64 * 1024 + 1]);
+    assert_eq!(exchange(&mut connect(running.http).await, &large).await.unwrap().status(), 400);
+    let largest = request("reading-put", "standard", 9, 5, &vec![1; 64 * 1024]);
+    assert_eq!(exchange(&mut connect(running.http).await, &largest).await.unwrap().status(), 200);
+    assert_eq!(seen.all().len(), 1);
+}
+
+#[tokio::test]
+async fn what_a_store_sends_back_decides_whether_a_write_may_go_again() {
+    // What the store does first; how often it is sent the write; the answer.
+    let cases = [
+        (Deed::Answer("500 Internal Server Error", vec![]), 1, 502),
+        (Deed::Answer("503 Service Unavailable", vec![]), 1, 502),
+        (Deed::Answer("404 Not Found", vec![]), 1, 502),
+        (Deed::MidReply, 1, 502),
+        (Deed::Close, 1, 502),
+        // Turned away unseen: it never ran, and may go again.
+        (Deed::Answer("503 Service Unavailable\r\nX-Unprocessed: 1", vec![]), 2, 200),
+        (Deed::Answer("504 Gateway Timeout\r\nX-Unprocessed: 1", vec![]), 2, 200),
+    ];
+    for (first, sends, status) in cases {
+        let named = format!("{first:?}");
+        let (store, seen) = store(move |_, before| if before == 0 { first.clone() } else { ok("") }).await;
+        let running = Running::start(store, "").await;
+        let write = request("reading-put", "standard", 9, 5, b"rain");
+        let answer = exchange(&mut connect(running.http).await, &write).await.unwrap();
+        assert_eq!((answer.status(), seen.all().len()), (status, sends), "{named}");
+    }
+}
+
+#[tokio::test]
+async fn a_write_on_a_connection_that_its_store_drops_is_not_sent_again_by_the_library() {
+    // The first request leaves an idle connection behind; the store takes the second on it and drops it.
+    let (store, seen) = store(|_, before| if before == 1 { Deed::Close } else { ok("") }).await;
+    let running = Running::start(store, "").await;
+    let mut stream = connect(running.http).await;
+    for (id, status) in [(1, 200), (2, 502)] {
+        let write = request("reading-put", "standard", 9, id, b"rain");
+        assert_eq!(exchange(&mut stream, &write).await.unwrap().status(), status);
+    }
+    assert_eq!(seen.all().len(), 2);
+}
+
+#[tokio::test]
+async fn a_refused_connection_never_ran_and_is_refused_with_a_time_to_come_back() {
+    // A port that was just let go of: nobody listens there.
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let running = Running::start(closed, "").await;
+    let write = request("reading-put", "standard", 9, 5, b"rain");
+    let answer = exchange(&mut connect(running.http).await, &write).await.unwrap();
+    assert_eq!(answer.status(), 429);
+    let seconds: f64 = answer.headers["retry-after"].parse().unwrap();
+    assert!((0.0..=1.0).contains(&seconds));
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_ends_its_attempt() {
+    let (store, seen) = store(|_, _| Deed::Silence).await;
+    let running = Running::start(store, "").await;
+    let mut stream = connect(running.http).await;
+    let sending = request("reading-get", "standard", 9, 5, b"");
+    tokio::select! {
+        _ = exchange(&mut stream, &sending) => panic!("the store never answers"),
+        () = until(|| !seen.all().is_empty()) => {}
+    }
+    assert_eq!(running.core.open_requests(), 1);
+    drop(stream);
+    until(|| running.core.open_requests() == 0).await;
+}
+
+#[tokio::test]
+async fn a_stop_finishes_what_was_taken_and_closes_each_connection_with_its_answer() {
+    let (go, wait) = tokio::sync::watch::channel(false);
+    let (store, _) = stand_in(move |_| {
+        let mut wait = wait.clone();
+        async move {
+            wait.wait_for(|go| *go).await.unwrap();
+            ok("late")
+        }
+    })
+    .await;
+    let mut running = Running::start(store, "").await;
+    let ready = b"GET /-/ready HTTP/1.1\r\nHost: service.internal\r\n\r\n";
+    let mut idle = connect(running.http).await;
+    assert_eq!(exchange(&mut idle, ready).await.unwrap().status(), 200);
+    let (core, http) = (running.core.clone(), running.http);
+    let taken = tokio::spawn(async move {
+        let mut stream = connect(http).await;
+        let answer = exchange(&mut stream, &request("reading-put", "standard", 9, 1, b"rain")).await.unwrap();
+        (answer, stream.read(&mut [0; 1]).await.unwrap())
+    });
+    until(|| core.open_requests() == 1).await;
+    let stopped = Instant::now();
+    running.stop();
+    // Still accepting, but no longer ready, and each answer closes.
+    loop {
+        let answer = exchange(&mut connect(http).await, ready).await.unwrap();
+        if answer.status() == 503 {
+            assert_eq!(answer.headers["connection"], "close");
+            break;
+        }
+    }
+    // The idle connection stays usable until the stop has been heard of everywhere.
+    assert_eq!(idle.read(&mut [0; 1]).await.unwrap(), 0);
+    assert!(stopped.elapsed() >= KEEP_ACCEPTING);
+    assert_eq!(core.open_requests(), 1);
+    go.send_replace(true);
+    let (answer, rest) = taken.await.unwrap();
+    assert_eq!((answer.status(), answer.body, rest), (200, b"late".to_vec(), 0));
+    running.ended().await;
+}
