--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -4,6 +4,7 @@
 use crate::discovery::{List, ListError};
 use crate::nbd::{Export, ExportClass, NbdConfig};
 use crate::store::MOST_BODY;
+use crate::telemetry::OtlpConfig;
 use pointcross_settings::{Parsed, SettingsTextError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -36,6 +37,8 @@
     pub budget: Budget,
     /// The second front, where the operator's file turns it on.
     pub nbd: Option<NbdConfig>,
+    /// Where spans and counts go, where the operator's file names it.
+    pub otlp: Option<OtlpConfig>,
 }
 
 /// The descriptors that each side may hold; together they stay under the limit.
@@ -129,6 +132,7 @@
 #[serde(deny_unknown_fields)]
 struct Operator {
     nbd: Option<OperatorNbd>,
+    otlp: Option<OperatorOtlp>,
 }
 
 #[derive(Deserialize)]
@@ -170,6 +174,60 @@
     write_class: Option<String>,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorOtlp {
+    endpoint: String,
+    #[serde(default = "pointcross")]
+    service: String,
+    #[serde(default = "two_thousand")]
+    most_spans: usize,
+    #[serde(default = "five_seconds")]
+    interval_ms: u64,
+    #[serde(default = "two_seconds")]
+    timeout_ms: u64,
+}
+
+fn pointcross() -> String {
+    "pointcross".to_owned()
+}
+
+fn two_thousand() -> usize {
+    2000
+}
+
+fn five_seconds() -> u64 {
+    5000
+}
+
+fn two_seconds() -> u64 {
+    2000
+}
+
+impl OperatorOtlp {
+    fn check(self) -> Result<OtlpConfig, ConfigError> {
+        let address = self.endpoint.parse::<http::Uri>().map_err(|error| bad("otlp.endpoint", error))?;
+        if address.scheme() != Some(&http::uri::Scheme::HTTP) || address.query().is_some() {
+            return Err(bad("otlp.endpoint", format!("{:?}: wanted http:// and an address", self.endpoint)));
+        }
+        let positive = [
+            ("otlp.most_spans", self.most_spans as u64),
+            ("otlp.interval_ms", self.interval_ms),
+            ("otlp.timeout_ms", self.timeout_ms),
+        ];
+        if let Some((key, _)) = positive.iter().find(|(_, value)| *value == 0) {
+            return Err(bad(key, "must be over 0"));
+        }
+        Ok(OtlpConfig {
+            endpoint: self.endpoint,
+            service: self.service,
+            most_spans: self.most_spans,
+            interval: Duration::from_millis(self.interval_ms),
+            timeout: Duration::from_millis(self.timeout_ms),
+        })
+    }
+}
+
 impl OperatorNbd {
     fn check(self, parsed: &Parsed) -> Result<NbdConfig, ConfigError> {
         if self.negotiation_ms == 0 {
@@ -289,6 +347,7 @@
             None => u64::from(std::process::id()),
         };
         let operator: Operator = toml::from_str(operator).map_err(|error| bad(OPERATOR_FILE, error))?;
+        let otlp = operator.otlp.map(OperatorOtlp::check).transpose()?;
         let nbd = operator.nbd.map(|nbd| nbd.check(&parsed)).transpose()?;
         let nbd_sockets = nbd.as_ref().map_or(0, |nbd| nbd.most_sessions);
         let budget = Budget::of(file.limits.sockets, known.members.len() * 2, nbd_sockets);
@@ -301,6 +360,7 @@
             known,
             budget,
             nbd,
+            otlp,
         })
     }
 }
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -3,6 +3,7 @@
 use crate::config::Config;
 use crate::shutdown::{Phase, Shutdown};
 use crate::store::{CORRELATION_ID, Call, MOST_BODY, Store, TIME_LEFT};
+use crate::telemetry::Telemetry;
 use axum::Router;
 use axum::body::{Body, to_bytes};
 use axum::extract::{Request, State};
@@ -36,6 +37,7 @@
     store: Arc<Store>,
     classes: Vec<Class>,
     plans: Vec<String>,
+    telemetry: Telemetry,
     shutdown: Shutdown,
     connections: AtomicUsize,
     /// From so many connections on, each answer closes its own, so that newer ones find room.
@@ -72,7 +74,13 @@
 
 impl Front {
     /// A front on this core.
-    pub fn new(core: Arc<Core>, store: Arc<Store>, config: &Config, shutdown: Shutdown) -> Self {
+    pub fn new(
+        core: Arc<Core>,
+        store: Arc<Store>,
+        config: &Config,
+        telemetry: Telemetry,
+        shutdown: Shutdown,
+    ) -> Self {
         let classes = config.parsed.classes.iter().zip(&config.parsed.decide.classes);
         Front {
             core,
@@ -81,6 +89,7 @@
                 .map(|(name, class)| Class { name: name.clone(), writes: class.writes })
                 .collect(),
             plans: config.parsed.plans.clone(),
+            telemetry,
             shutdown,
             connections: AtomicUsize::new(0),
             crowded: config.budget.front * 3 / 4,
@@ -138,8 +147,11 @@
         let body = to_bytes(body, MOST_BODY).await.map_err(|_| Malformed::Body)?;
         let path = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
         let correlation_id = head.headers[CORRELATION_ID].clone();
-        let call = Call { method: head.method, path, correlation_id, body };
-        Ok(self.core.serve(&*self.store, &call, new).await)
+        let note = self.telemetry.request("http", &new);
+        let call = Call { method: head.method, path, correlation_id, body, note };
+        let answer = self.core.serve(&*self.store, &call, new).await;
+        call.note.answered(&answer);
+        Ok(answer)
     }
 
     /// Whether answers close their connections: while stopping, and where connections are many.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod rpc;
 pub mod shutdown;
 pub mod store;
+pub mod telemetry;
 
 use config::Config;
 use pointcross_core::Core;
@@ -17,11 +18,15 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use telemetry::Telemetry;
 use tokio::net::TcpListener;
 
 /// Why the program could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
+    /// The way to the collector cannot be set up.
+    #[error("otlp: {0}")]
+    Otlp(#[from] opentelemetry_otlp::ExporterBuildError),
     /// The module cannot work with these settings.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
@@ -40,6 +45,7 @@
     config: Config,
     core: Arc<Core>,
     store: Arc<store::Store>,
+    telemetry: Telemetry,
     http: TcpListener,
     nbd: Option<(nbd::NbdConfig, TcpListener)>,
 }
@@ -54,7 +60,11 @@
         };
         let core = Arc::new(Core::new(config.parsed.decide.clone(), config.seed)?);
         let store = Arc::new(store::Store::new(&config));
-        Ok(Daemon { config, core, store, http, nbd })
+        let telemetry = match &config.otlp {
+            None => Telemetry::default(),
+            Some(otlp) => Telemetry::start(otlp, &config.name, &config.parsed)?,
+        };
+        Ok(Daemon { config, core, store, telemetry, http, nbd })
     }
 
     /// Where HTTP clients connect.
@@ -74,13 +84,19 @@
 
     /// Serves until `shutdown` is over and everything that was taken is answered.
     pub async fn run(self, shutdown: Shutdown) {
-        let Daemon { config, core, store, http, nbd } = self;
+        let Daemon { config, core, store, telemetry, http, nbd } = self;
         let mut follow = core.follow_orders();
         core.list(ListKind::Cached, config.known.members.clone());
-        let front = Arc::new(http::Front::new(core.clone(), store.clone(), &config, shutdown.clone()));
+        let front = Arc::new(http::Front::new(
+            core.clone(),
+            store.clone(),
+            &config,
+            telemetry.clone(),
+            shutdown.clone(),
+        ));
         let nbd = async {
             if let Some((nbd, listener)) = nbd {
-                let nbd = nbd::Nbd::new(nbd, core.clone(), store, shutdown, config.seed);
+                let nbd = nbd::Nbd::new(nbd, core.clone(), store, telemetry.clone(), shutdown, config.seed);
                 Arc::new(nbd).accept(listener).await;
             }
         };
@@ -90,6 +106,7 @@
             () = discovery::follow(&core, &config, &mut follow) => {}
             _ = async { tokio::join!(http::accept(http, front, config.budget.front), nbd) } => {}
         }
+        telemetry.shutdown().await;
         tracing::info!("stopped");
     }
 }
--- a/daemon/src/nbd/mod.rs
+++ b/daemon/src/nbd/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::shutdown::{KEEP_ACCEPTING, Phase, Shutdown};
 use crate::store::{Call, Store};
+use crate::telemetry::Telemetry;
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderValue, Method};
@@ -86,6 +87,7 @@
     config: NbdConfig,
     core: Arc<Core>,
     store: Arc<Store>,
+    telemetry: Telemetry,
     shutdown: Shutdown,
     next_id: AtomicU64,
     sessions: TaskTracker,
@@ -93,9 +95,16 @@
 
 impl Nbd {
     /// A front on this core; `seed` keeps its request ids apart from an earlier process's.
-    pub fn new(config: NbdConfig, core: Arc<Core>, store: Arc<Store>, shutdown: Shutdown, seed: u64) -> Self {
+    pub fn new(
+        config: NbdConfig,
+        core: Arc<Core>,
+        store: Arc<Store>,
+        telemetry: Telemetry,
+        shutdown: Shutdown,
+        seed: u64,
+    ) -> Self {
         let next_id = AtomicU64::new(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-        Nbd { config, core, store, shutdown, next_id, sessions: TaskTracker::new() }
+        Nbd { config, core, store, telemetry, shutdown, next_id, sessions: TaskTracker::new() }
     }
 
     /// How many sessions are open, those in negotiation included.
@@ -166,12 +175,6 @@
         let key = index + 1;
         let path = format!("/{}/{:016x}/{key:016x}", class.name, export.volume);
         let id = format!("{:016x}", self.next_id.fetch_add(1, Ordering::Relaxed));
-        let call = Call {
-            method: if writes { Method::PUT } else { Method::GET },
-            path: PathAndQuery::try_from(path).expect("class names are checked when they are read"),
-            correlation_id: HeaderValue::try_from(id).expect("hex digits"),
-            body: data.unwrap_or_default(),
-        };
         let request = NewRequest {
             class: class.number,
             plan: export.plan,
@@ -184,7 +187,16 @@
             writes,
             deadline: Instant::now() + class.deadline,
         };
-        let message = match self.core.serve(&*self.store, &call, request).await {
+        let call = Call {
+            method: if writes { Method::PUT } else { Method::GET },
+            path: PathAndQuery::try_from(path).expect("class names are checked when they are read"),
+            correlation_id: HeaderValue::try_from(id).expect("hex digits"),
+            body: data.unwrap_or_default(),
+            note: self.telemetry.request("nbd", &request),
+        };
+        let answer = self.core.serve(&*self.store, &call, request).await;
+        call.note.answered(&answer);
+        let message = match answer {
             Answer::Served(body) if writes || body.len() == export.block as usize => return Ok(body),
             Answer::Served(body) => format!("the store's block holds {} bytes", body.len()),
             Answer::Refused { retry_after } => {
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -1,6 +1,7 @@
 //! The storage nodes' side: one attempt is one HTTP request to one node.
 
 use crate::config::Config;
+use crate::telemetry::RequestNote;
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
@@ -23,7 +24,6 @@
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
 /// A request as a node gets it.
-#[derive(Clone, Debug)]
 pub struct Call {
     /// GET or PUT.
     pub method: Method,
@@ -33,6 +33,8 @@
     pub correlation_id: HeaderValue,
     /// Empty for a read.
     pub body: Bytes,
+    /// The operator's note of the request, which notes its attempts.
+    pub note: RequestNote,
 }
 
 /// The client for all nodes.
@@ -99,6 +101,15 @@
     type Answer = Bytes;
 
     async fn attempt(&self, attempt: Attempt, call: &Call) -> Ended<Bytes> {
+        let note = call.note.attempt(&attempt);
+        let ended = self.carry(attempt, call).await;
+        note.ended(&ended.end);
+        ended
+    }
+}
+
+impl Store {
+    async fn carry(&self, attempt: Attempt, call: &Call) -> Ended<Bytes> {
         let Ok(_room) = self.room.try_acquire() else {
             tracing::warn!("no room for another attempt");
             return End::NotSent.into();
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -200,6 +200,11 @@
         let _ = self.stop.take().unwrap().send(());
     }
 
+    /// Ends the program without its stop, as a crash does.
+    pub fn abandon(self) {
+        self.task.abort();
+    }
+
     /// Waits for the end, which must come by itself.
     pub async fn ended(self) {
         self.task.await.unwrap();
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -64,6 +64,14 @@
         let text = fault(&platform(), &whole.replacen(from, to, 1));
         assert!(text.starts_with(key), "{text}");
     }
+    for (otlp, key) in [
+        ("endpoint = \"127.0.0.1:4318\"", "otlp.endpoint"),
+        ("endpoint = \"https://127.0.0.1:4318\"", "otlp.endpoint"),
+        ("endpoint = \"http://127.0.0.1:4318\"\ninterval_ms = 0", "otlp.interval_ms"),
+    ] {
+        let text = fault(&platform(), &format!("[otlp]\n{otlp}\n"));
+        assert!(text.starts_with(key), "{text}");
+    }
     let shipped = include_str!("../../deploy/operator.toml");
     assert!(Config::from_texts(|_| None, &platform(), shipped).unwrap().nbd.is_some());
 }
