Tell a request that broke off before its last byte from one that may have run

The protocol says that an attempt whose connection breaks before its last byte is written never ran; the store client called each such break a reset, so a write that no node had whole was failed instead of tried again or refused. hyper's errors don't tell the two apart (checked in its client's dispatch: only requests that it never began come back as canceled). daemon/src/written.rs now watches each store connection: hyper flushes it only when its own buffer is empty.

The stop no longer waits longer for a silent collector than timeout_ms: the telemetry test had taken 5.9 s once.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod shutdown;
 pub mod store;
 pub mod telemetry;
+mod written;
 
 use config::Config;
 use pointcross_core::Core;
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -2,11 +2,13 @@
 
 use crate::config::Config;
 use crate::telemetry::RequestNote;
+use crate::written::{Connector, broke_off};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper_util::client::legacy::{Client, connect::HttpConnector};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use pointcross_core::{Attempt, End, Ended, Report, Transport};
 use std::error::Error;
@@ -39,7 +41,7 @@
 
 /// The client for all nodes.
 pub struct Store {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<Connector, Full<Bytes>>,
     room: Semaphore,
     report_names: Vec<String>,
 }
@@ -59,7 +61,7 @@
         builder.pool_timer(TokioTimer::new()).pool_idle_timeout(idle);
         builder.pool_max_idle_per_host(config.budget.idle_per_node);
         Store {
-            client: builder.build(connector),
+            client: builder.build(Connector(connector)),
             room: Semaphore::new(config.budget.attempts),
             report_names: config.parsed.decide.report_names.clone(),
         }
@@ -90,10 +92,11 @@
     names.iter().map(value).collect()
 }
 
-/// Whether the library gave the request up before a byte of it was written.
-fn never_written(error: &hyper_util::client::legacy::Error) -> bool {
+/// Whether a request failed before its last byte was written: no connection came up, the library gave it up
+/// unsent, or its connection broke on the way.
+fn never_written(error: &hyper_util::client::legacy::Error, connection: &CaptureConnection) -> bool {
     let cause = error.source().and_then(|cause| cause.downcast_ref::<hyper::Error>());
-    error.is_connect() || cause.is_some_and(hyper::Error::is_canceled)
+    error.is_connect() || cause.is_some_and(hyper::Error::is_canceled) || broke_off(connection)
 }
 
 impl Transport for Store {
@@ -130,11 +133,13 @@
         if call.method == Method::PUT && call.body.is_empty() {
             headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
         }
+        let connection = capture_connection(&mut request);
         let response = match self.client.request(request).await {
             Ok(response) => response,
             Err(error) => {
                 tracing::debug!(%error, cause = ?error.source(), node = attempt.target.name, "attempt");
-                return if never_written(&error) { End::NoConnection } else { End::Reset }.into();
+                return if never_written(&error, &connection) { End::NoConnection } else { End::Reset }
+                    .into();
             }
         };
         let (head, body) = response.into_parts();
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -24,6 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::runtime::Handle;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// A collector's answer says little; more is not read.
@@ -128,18 +129,22 @@
     /// Sends what still waits, for as long as one export may take, and ends.
     pub async fn shutdown(self) {
         let Some(instruments) = self.0 else { return };
-        // Both wait for their threads, whose exports run on this runtime.
-        let ending = tokio::task::spawn_blocking(move || {
-            let timeout = instruments.timeout;
+        // Both wait for the SDK's threads, whose exports run on this runtime; some wait longer than they are
+        // asked to, so this goes on in a thread that the program's end need not wait for.
+        let timeout = instruments.timeout;
+        let (done, ended) = oneshot::channel();
+        std::thread::spawn(move || {
             if let Err(error) = instruments.traces.shutdown_with_timeout(timeout) {
                 tracing::warn!(%error, "spans were lost");
             }
             if let Err(error) = instruments.metrics.shutdown_with_timeout(timeout) {
                 tracing::warn!(%error, "counts were lost");
             }
+            let _ = done.send(());
         });
-        // A panic there ends the note-taking, not the program.
-        let _ = ending.await;
+        if tokio::time::timeout(timeout, ended).await.is_err() {
+            tracing::warn!("the collector does not answer; what it was not sent is lost");
+        }
     }
 }
 
