Let no thread that serves wait for a silent collector when the notes are dropped

Checked: the stop itself ends in timeout_ms; what waited was the drop of an abandoned program. Cause: the SDK's providers shut down when dropped, 5 s each, on the thread that drops them, and `Instruments` left it to them.

--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -22,6 +22,7 @@
 use pointcross_settings::Parsed;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::oneshot;
@@ -59,6 +60,7 @@
     classes: Vec<String>,
     plans: Vec<String>,
     timeout: Duration,
+    ending: AtomicBool,
 }
 
 impl Telemetry {
@@ -100,6 +102,7 @@
             classes: parsed.classes.clone(),
             plans: parsed.plans.clone(),
             timeout: config.timeout,
+            ending: AtomicBool::new(false),
         }))))
     }
 
@@ -129,25 +132,41 @@
     /// Sends what still waits, for as long as one export may take, and ends.
     pub async fn shutdown(self) {
         let Some(instruments) = self.0 else { return };
-        // Both wait for the SDK's threads, whose exports run on this runtime; some wait longer than they are
-        // asked to, so this goes on in a thread that the program's end need not wait for.
-        let timeout = instruments.timeout;
-        let (done, ended) = oneshot::channel();
-        std::thread::spawn(move || {
-            if let Err(error) = instruments.traces.shutdown_with_timeout(timeout) {
-                tracing::warn!(%error, "spans were lost");
-            }
-            if let Err(error) = instruments.metrics.shutdown_with_timeout(timeout) {
-                tracing::warn!(%error, "counts were lost");
-            }
-            let _ = done.send(());
-        });
-        if tokio::time::timeout(timeout, ended).await.is_err() {
+        if tokio::time::timeout(instruments.timeout, instruments.end()).await.is_err() {
             tracing::warn!("the collector does not answer; what it was not sent is lost");
         }
     }
 }
 
+impl Instruments {
+    /// Sends what still waits, once, in a thread that nothing has to wait for: the SDK's threads export on
+    /// this runtime, and some take longer than they are asked to.
+    fn end(&self) -> oneshot::Receiver<()> {
+        let (done, ended) = oneshot::channel();
+        if !self.ending.swap(true, Ordering::Relaxed) {
+            let (traces, metrics, timeout) = (self.traces.clone(), self.metrics.clone(), self.timeout);
+            std::thread::spawn(move || {
+                if let Err(error) = traces.shutdown_with_timeout(timeout) {
+                    tracing::warn!(%error, "spans were lost");
+                }
+                if let Err(error) = metrics.shutdown_with_timeout(timeout) {
+                    tracing::warn!(%error, "counts were lost");
+                }
+                let _ = done.send(());
+            });
+        }
+        ended
+    }
+}
+
+impl Drop for Instruments {
+    /// Guards against the providers' own drop, which waits for a silent collector for seconds, on whatever
+    /// thread drops them: here the one that serves.
+    fn drop(&mut self) {
+        drop(self.end());
+    }
+}
+
 /// The note of one request; ends with its answer, or as abandoned when it is dropped before.
 #[derive(Default)]
 pub struct RequestNote(Option<Noted>);
--- a/daemon/tests/telemetry.rs
+++ b/daemon/tests/telemetry.rs
@@ -9,7 +9,9 @@
 use opentelemetry_proto::tonic::metrics::v1::metric::Data;
 use opentelemetry_proto::tonic::trace::v1::Span;
 use prost::Message as _;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 fn text(attributes: &[KeyValue], key: &str) -> String {
     let value = attributes.iter().find(|pair| pair.key == key).and_then(|pair| pair.value.clone());
@@ -116,5 +118,10 @@
     serve_three(&stopping).await;
     stopping.stop();
     tokio::time::timeout(Duration::from_secs(20), stopping.ended()).await.expect("the stop hangs");
+    // Dropping a program whose export hangs does not wait for it either: the SDK would, 5 s for each provider.
+    let core = running.core.clone();
+    let dropped = Instant::now();
     running.abandon();
+    until(|| Arc::strong_count(&core) == 1).await;
+    assert!(dropped.elapsed() < Duration::from_secs(4));
 }
