--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -85,6 +85,8 @@
 
     /// Serves until `shutdown` is over and everything that was taken is answered.
     pub async fn run(self, shutdown: Shutdown) {
+        let (http, nbd) = (self.http_address().ok(), self.nbd_address());
+        tracing::info!(name = self.config.name, ?http, ?nbd, "serving");
         let Daemon { config, core, store, telemetry, http, nbd } = self;
         let mut follow = core.follow_orders();
         core.list(ListKind::Cached, config.known.members.clone());
@@ -101,7 +103,6 @@
                 Arc::new(nbd).accept(listener).await;
             }
         };
-        tracing::info!(name = config.name, listen = %config.listen, "serving");
         tokio::select! {
             () = core.run_timers() => {}
             () = discovery::follow(&core, &config, &mut follow) => {}
