Check HTTP connections against a model, and say what remains

Random steps on a kept connection (reads, writes, malformed requests, leaving amid a request) follow a model of the pieces; nothing sent in part runs.

--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -265,3 +265,18 @@
 }
 
 pub type ListAnswer = std::pin::Pin<Box<dyn Future<Output = Deed> + Send>>;
+
+/// A store that keeps what is put; a block never put holds the last byte of its path.
+pub fn keeping() -> impl Fn(&Message, usize) -> Deed + Clone + Send + Sync + 'static {
+    let blocks = Arc::new(Mutex::new(HashMap::new()));
+    move |message, _| {
+        let piece = message.path().rsplit('/').next().unwrap().to_owned();
+        let mut blocks = blocks.lock().unwrap();
+        if message.first.starts_with("PUT") {
+            blocks.insert(piece, message.body.clone());
+            return ok("");
+        }
+        let fresh = vec![*piece.as_bytes().last().unwrap(); 512];
+        ok(blocks.get(&piece).cloned().unwrap_or(fresh))
+    }
+}
--- a/daemon/tests/http.rs
+++ b/daemon/tests/http.rs
@@ -4,7 +4,9 @@
 
 use common::*;
 use pointcross::shutdown::KEEP_ACCEPTING;
-use tokio::io::AsyncReadExt;
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::Instant;
 
 #[tokio::test]
@@ -194,3 +196,73 @@
     assert_eq!((answer.status(), answer.body, rest), (200, b"late".to_vec(), 0));
     running.ended().await;
 }
+
+/// A step of a client on its connection.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ready,
+    Read(u64),
+    Write(u64, u8),
+    Malformed,
+    /// Leaves after so many bytes of a write, and comes again on a new connection.
+    Leave(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        1 => Just(Step::Ready),
+        3 => (1..4u64).prop_map(Step::Read),
+        3 => (1..4u64, any::<u8>()).prop_map(|(piece, byte)| Step::Write(piece, byte)),
+        1 => Just(Step::Malformed),
+        1 => (0..300usize).prop_map(Step::Leave),
+    ];
+    prop::collection::vec(step, 1..10)
+}
+
+/// Walks a client through the steps; the model is what each piece holds, on a connection that stays open.
+async fn walk(http: std::net::SocketAddr, pieces: &mut [Option<Vec<u8>>], steps: &[Step]) {
+    let mut stream = connect(http).await;
+    for (n, step) in steps.iter().enumerate() {
+        let read = |piece| request("reading-get", "standard", piece, n as u64, b"");
+        let write = |piece, body: &[u8]| request("reading-put", "standard", piece, n as u64, body);
+        let (bytes, status, body) = match *step {
+            Step::Ready => (b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n".to_vec(), 200, None),
+            Step::Read(piece) => (read(piece), 200, pieces[piece as usize].clone()),
+            Step::Write(piece, byte) => {
+                pieces[piece as usize] = Some(vec![byte; 32]);
+                (write(piece, &[byte; 32]), 200, Some(vec![]))
+            }
+            Step::Malformed => (read(1)[..].to_ascii_uppercase(), 400, None),
+            Step::Leave(cut) => {
+                // Never the whole request: what was not sent whole must not run.
+                let whole = write(1, &[b'x'; 32]);
+                stream.write_all(&whole[..cut.min(whole.len() - 1)]).await.unwrap();
+                stream = connect(http).await;
+                continue;
+            }
+        };
+        let answer = exchange(&mut stream, &bytes).await.expect("the connection stays open");
+        assert_eq!(answer.status(), status, "{step:?}");
+        if let Some(body) = body {
+            assert_eq!(answer.body, body, "{step:?}");
+        }
+    }
+}
+
+#[test]
+fn a_connection_follows_its_model_and_nothing_sent_in_part_runs() {
+    let config = ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[47; 32]);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let running = runtime.block_on(async {
+        let (store, _) = store(keeping()).await;
+        Running::start(store, "").await
+    });
+    let pieces = std::cell::RefCell::new(vec![None; 4]);
+    let outcome = TestRunner::new_with_rng(config, rng).run(&steps(), |steps| {
+        runtime.block_on(walk(running.http, &mut pieces.borrow_mut(), &steps));
+        Ok(())
+    });
+    outcome.unwrap();
+    runtime.block_on(until(|| running.core.open_requests() == 0));
+}
--- a/daemon/tests/nbd.rs
+++ b/daemon/tests/nbd.rs
@@ -132,21 +132,6 @@
     }
 }
 
-/// A store that keeps what is put; a block never put holds the last byte of its path.
-fn keeping() -> impl Fn(&Message, usize) -> Deed + Clone + Send + Sync + 'static {
-    let blocks = std::sync::Arc::new(std::sync::Mutex::new(std::collections::HashMap::new()));
-    move |message, _| {
-        let piece = message.path().rsplit('/').next().unwrap().to_owned();
-        let mut blocks = blocks.lock().unwrap();
-        if message.first.starts_with("PUT") {
-            blocks.insert(piece, message.body.clone());
-            return ok("");
-        }
-        let fresh = vec![*piece.as_bytes().last().unwrap(); 512];
-        ok(blocks.get(&piece).cloned().unwrap_or(fresh))
-    }
-}
-
 #[tokio::test]
 async fn blocks_are_written_and_read_back_with_both_kinds_of_reply() {
     let (store, seen) = store(keeping()).await;
