--- a/daemon/src/nbd/mod.rs
+++ b/daemon/src/nbd/mod.rs
@@ -107,11 +107,6 @@
         Nbd { config, core, store, telemetry, shutdown, next_id, sessions: TaskTracker::new() }
     }
 
-    /// How many sessions are open, those in negotiation included.
-    pub fn sessions(&self) -> usize {
-        self.sessions.len()
-    }
-
     /// Accepts sessions until the stop begins, then ends when every session has.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         let room = Arc::new(Semaphore::new(self.config.most_sessions));
