Let silent and idle connections give way, and refuse what could hide a second request

Checked: 2304 clients asked once and stayed, 1824 never sent a whole request; each held one of 201 places for 30 s (header_read_timeout), and accept waited for a permit. 502 requests of bad clients came to servers. At fault: daemon/src/http.rs: IDLE, the semaphore in accept, bodies read up to the request's own time, no look at Transfer-Encoding, repeated headers, bodies of reads, ids already open. hyper goes by the chunks and drops Content-Length where both are stated, in either order (read in its parser), so a request with Transfer-Encoding gets 411 whatever else it carries. Now: Seats tells the silent, then the longest idle connection to leave when a place is needed; a first request comes whole within 2.5 s or its connection closes; heads up to 16 KiB; a malformed request closes its connection; open ids are kept by the store, so NBD shares them. Tests: a model of the seats; hidden requests, copies of an open id; silent connections on a full front.

--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -1,15 +1,18 @@
 //! The platform's HTTP front: axum, kept thin. A request is decoded once, handed to the core, and answered.
 
 use crate::config::Config;
+use crate::seats::{Seat, Seats};
 use crate::shutdown::{Phase, Shutdown};
 use crate::store::{CORRELATION_ID, Call, MOST_BODY, Store, TIME_LEFT};
 use crate::telemetry::Telemetry;
-use axum::Router;
-use axum::body::{Body, to_bytes};
+use crate::written::Watched;
+use axum::body::{Body, HttpBody, to_bytes};
 use axum::extract::{Request, State};
 use axum::middleware::map_response_with_state;
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
+use axum::{Extension, Router};
+use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use hyper::server::conn::http1;
@@ -17,10 +20,8 @@
 use hyper_util::service::TowerToHyperService;
 use pointcross_core::{Answer, Core, NewRequest};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
@@ -28,8 +29,14 @@
 const PLAN: HeaderName = HeaderName::from_static("tier");
 const EXTRAS: HeaderName = HeaderName::from_static("io-info");
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
-/// A client that sends nothing for this long loses its connection.
-const IDLE: Duration = Duration::from_secs(30);
+/// A client that asks nothing more for this long loses its connection.
+const IDLE: Duration = Duration::from_secs(10);
+/// A new connection has brought its first request whole by then, or is closed.
+const FIRST: Duration = Duration::from_millis(2500);
+/// A request's body follows its head within this.
+const BODY: Duration = Duration::from_millis(1000);
+/// What is kept of a head that has not ended yet: many times a usual one, and little for hundreds at once.
+const MOST_HEAD: usize = 16 * 1024;
 
 /// What every connection of the front shares.
 pub struct Front {
@@ -39,9 +46,6 @@
     plans: Vec<String>,
     telemetry: Telemetry,
     shutdown: Shutdown,
-    connections: AtomicUsize,
-    /// From so many connections on, each answer closes its own, so that newer ones find room.
-    crowded: usize,
 }
 
 struct Class {
@@ -67,9 +71,32 @@
     /// A read is a GET, a write a PUT.
     #[error("method: not the class's")]
     Method,
-    /// The body is over 64 KiB, broke off, or did not come in time.
-    #[error("body: over 64 KiB, cut short, or too late")]
+    /// A read has a body.
+    #[error("body: a read has none")]
+    ReadBody,
+    /// The body is over 64 KiB.
+    #[error("body: over 64 KiB")]
+    Large,
+    /// The body broke off or did not come in time.
+    #[error("body: cut short, or too late")]
     Body,
+    /// The body's length is not stated at its start.
+    #[error("body: its length must be stated, in Content-Length alone")]
+    Length,
+    /// The id is that of a request that is still open.
+    #[error("{CORRELATION_ID}: that of a request still open")]
+    Open,
+}
+
+impl Malformed {
+    fn status(&self) -> StatusCode {
+        match self {
+            Malformed::Large => StatusCode::PAYLOAD_TOO_LARGE,
+            Malformed::Length => StatusCode::LENGTH_REQUIRED,
+            Malformed::Open => StatusCode::CONFLICT,
+            _ => StatusCode::BAD_REQUEST,
+        }
+    }
 }
 
 impl Front {
@@ -91,8 +118,6 @@
             plans: config.parsed.plans.clone(),
             telemetry,
             shutdown,
-            connections: AtomicUsize::new(0),
-            crowded: config.budget.front * 3 / 4,
         }
     }
 
@@ -104,9 +129,17 @@
         headers: &HeaderMap,
         now: Instant,
     ) -> Result<NewRequest, Malformed> {
+        // Guards against a request hidden in another's body: where both lengths are stated, hyper goes by the
+        // chunks and drops `Content-Length`, so that nothing here could tell. No client needs chunks.
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            return Err(Malformed::Length);
+        }
+        // A header that stands twice says nothing.
         let text = |name: HeaderName| {
-            let value = headers.get(&name).and_then(|value| value.to_str().ok()).map(str::trim);
-            value.ok_or(Malformed::Header(name))
+            let mut values = headers.get_all(&name).iter();
+            let value = values.next().filter(|_| values.next().is_none());
+            let value = value.and_then(|value| value.to_str().ok()).map(str::trim);
+            value.filter(|value| !value.is_empty()).ok_or(Malformed::Header(name))
         };
         let mut parts = path.strip_prefix('/').ok_or(Malformed::Path)?.split('/');
         let (Some(in_path), Some(volume), Some(piece), None) =
@@ -125,7 +158,7 @@
         let plan = self.plans.iter().position(|plan| plan == plan_name).ok_or(Malformed::Plan)?;
         let left = read_time(text(TIME_LEFT)?).ok_or(Malformed::Header(TIME_LEFT))?;
         let extras = Extras::read(text(EXTRAS)?).ok_or(Malformed::Header(EXTRAS))?;
-        headers.get(CORRELATION_ID).ok_or(Malformed::Header(CORRELATION_ID))?;
+        text(CORRELATION_ID)?;
         Ok(NewRequest {
             class: class as u16,
             plan: plan as u16,
@@ -140,28 +173,44 @@
         })
     }
 
-    async fn answer(&self, request: Request) -> Result<Answer<bytes::Bytes>, Malformed> {
+    async fn answer(&self, seat: &Seat, request: Request) -> Result<Answer<bytes::Bytes>, Malformed> {
         let now = Instant::now();
         let (head, body) = request.into_parts();
         let new = self.decode(&head.method, head.uri.path(), &head.headers, now)?;
-        // Guards against a client that stops in the middle of its body and keeps its connection for ever.
-        let body = tokio::time::timeout_at(new.deadline, to_bytes(body, MOST_BODY)).await;
-        let body = body.ok().and_then(Result::ok).ok_or(Malformed::Body)?;
+        let body = if new.writes {
+            read_body(body, new.deadline.min(now + BODY)).await?
+        } else if body.is_end_stream() {
+            Bytes::new()
+        } else {
+            return Err(Malformed::ReadBody);
+        };
+        // Two requests with one id would be taken for one that was sent twice.
+        let id = self.store.open(&head.headers[CORRELATION_ID]).ok_or(Malformed::Open)?;
+        seat.asked();
         let path = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
-        let correlation_id = head.headers[CORRELATION_ID].clone();
         let note = self.telemetry.request("http", &new);
-        let call = Call { method: head.method, path, correlation_id, body, note };
+        let call = Call { method: head.method, path, id, body, note };
         let answer = self.core.serve(&*self.store, &call, new).await;
         call.note.answered(&answer);
         Ok(answer)
     }
 
-    /// Whether answers close their connections: while stopping, and where connections are many.
+    /// Whether answers close their connections.
     fn closes(&self) -> bool {
-        self.shutdown.phase() != Phase::Running || self.connections.load(Ordering::Relaxed) > self.crowded
+        self.shutdown.phase() != Phase::Running
     }
 }
 
+/// Reads a body until it is whole. What is too long is known by its stated length and not read at all.
+async fn read_body(body: Body, until: Instant) -> Result<Bytes, Malformed> {
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return Err(Malformed::Large);
+    }
+    // Guards against a client that stops in the middle of its body and keeps its connection for ever.
+    let body = tokio::time::timeout_at(until, to_bytes(body, MOST_BODY)).await;
+    body.ok().and_then(Result::ok).ok_or(Malformed::Body)
+}
+
 struct Extras {
     units: f64,
     shard: Option<u32>,
@@ -208,15 +257,27 @@
     if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
-async fn take(State(front): State<Arc<Front>>, request: Request) -> Response {
-    match front.answer(request).await {
+async fn take(
+    State(front): State<Arc<Front>>,
+    Extension(seat): Extension<Arc<Seat>>,
+    request: Request,
+) -> Response {
+    let answered = front.answer(&seat, request).await;
+    if answered.is_ok() {
+        seat.answered();
+    }
+    match answered {
         Ok(Answer::Served(body)) => Body::from(body).into_response(),
         Ok(Answer::Refused { retry_after }) => {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             (StatusCode::TOO_MANY_REQUESTS, [(header::RETRY_AFTER, seconds)]).into_response()
         }
         Ok(Answer::Failed) => StatusCode::BAD_GATEWAY.into_response(),
-        Err(malformed) => (StatusCode::BAD_REQUEST, malformed.to_string()).into_response(),
+        // What follows a request that cannot be used cannot be trusted to be one.
+        Err(malformed) => {
+            let close = [(header::CONNECTION, "close")];
+            (malformed.status(), close, malformed.to_string()).into_response()
+        }
     }
 }
 
@@ -229,28 +290,23 @@
 }
 
 /// The front's routes.
-pub fn router(front: Arc<Front>) -> Router {
+fn router(front: Arc<Front>) -> Router {
     let routes = Router::new().route("/-/ready", get(ready)).fallback(take);
     routes.layer(map_response_with_state(front.clone(), close_when_told)).with_state(front)
 }
 
 /// Accepts connections until the stop is far enough, then ends when every connection has.
 pub async fn accept(listener: TcpListener, front: Arc<Front>, most: usize) {
-    let room = Arc::new(Semaphore::new(most));
+    let seats = Seats::new(most);
     let tracker = TaskTracker::new();
     let shutdown = front.shutdown.clone();
     let routes = router(front.clone());
     let accepting = async {
         loop {
-            // The semaphore is never closed.
-            let Ok(permit) = room.clone().acquire_owned().await else { return };
+            seats.room().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let serving = connection(stream, routes.clone(), front.clone());
-                    tracker.spawn(async move {
-                        serving.await;
-                        drop(permit);
-                    });
+                    tracker.spawn(connection(stream, seats.take(), routes.clone(), shutdown.clone()));
                 }
                 Err(error) => {
                     // Out of descriptors, or a connection that died in the queue.
@@ -273,23 +329,45 @@
     let _ = tokio::time::timeout(patience, tracker.wait()).await;
 }
 
-async fn connection(stream: TcpStream, routes: Router, front: Arc<Front>) {
+async fn connection(stream: TcpStream, seat: Seat, routes: Router, shutdown: Shutdown) {
     let _ = stream.set_nodelay(true);
-    front.connections.fetch_add(1, Ordering::Relaxed);
+    let (stream, unfinished) = Watched::new(TokioIo::new(stream));
+    let seat = Arc::new(seat);
     let mut server = http1::Builder::new();
-    server.timer(TokioTimer::new()).header_read_timeout(IDLE);
-    let serving = server.serve_connection(TokioIo::new(stream), TowerToHyperService::new(routes));
-    tokio::pin!(serving);
-    let ended = tokio::select! {
-        ended = &mut serving => ended,
-        () = front.shutdown.reached(Phase::Draining) => {
-            // Idle connections close now, the others with their answer.
-            serving.as_mut().graceful_shutdown();
-            serving.await
+    server.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(MOST_HEAD);
+    let service = TowerToHyperService::new(routes.layer(Extension(seat.clone())));
+    let serving = server.serve_connection(stream, service);
+    // Guards against clients that say nothing, or never end what they say, and hold their connections.
+    let first = tokio::time::sleep(FIRST);
+    tokio::pin!(serving, first);
+    let (mut came, mut stopping) = (false, false);
+    loop {
+        // The connection itself comes first: what has been read by now counts.
+        tokio::select! {
+            biased;
+            ended = &mut serving => {
+                if let Err(error) = ended {
+                    tracing::debug!(%error, "client connection");
+                }
+                return;
+            }
+            () = &mut first, if !came => {
+                came = true;
+                if seat.fresh() && !unfinished.get() {
+                    return;
+                }
+            }
+            () = seat.told_to_leave() => {
+                if seat.spared() && !unfinished.get() {
+                    return;
+                }
+                seat.stays();
+            }
+            () = shutdown.reached(Phase::Draining), if !stopping => {
+                // Idle connections close now, the others with their answer.
+                stopping = true;
+                serving.as_mut().graceful_shutdown();
+            }
         }
-    };
-    front.connections.fetch_sub(1, Ordering::Relaxed);
-    if let Err(error) = ended {
-        tracing::debug!(%error, "client connection");
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod nbd;
 pub mod reload;
 pub mod rpc;
+mod seats;
 pub mod shutdown;
 pub mod store;
 pub mod telemetry;
--- a/daemon/src/nbd/mod.rs
+++ b/daemon/src/nbd/mod.rs
@@ -169,7 +169,13 @@
         // Piece 0 is no piece, so the first block is piece 1.
         let key = index + 1;
         let path = format!("/{}/{:016x}/{key:016x}", class.name, export.volume);
-        let id = format!("{:016x}", self.next_id.fetch_add(1, Ordering::Relaxed));
+        // A number that an HTTP client's open request bears is passed over.
+        let id = loop {
+            let id = format!("{:016x}", self.next_id.fetch_add(1, Ordering::Relaxed));
+            if let Some(id) = self.store.open(&HeaderValue::try_from(id).expect("hex digits")) {
+                break id;
+            }
+        };
         let request = NewRequest {
             class: class.number,
             plan: export.plan,
@@ -185,7 +191,7 @@
         let call = Call {
             method: if writes { Method::PUT } else { Method::GET },
             path: PathAndQuery::try_from(path).expect("class names are checked when they are read"),
-            correlation_id: HeaderValue::try_from(id).expect("hex digits"),
+            id,
             body: data.unwrap_or_default(),
             note: self.telemetry.request("nbd", &request),
         };
--- /dev/null
+++ b/daemon/src/seats.rs
@@ -0,0 +1,245 @@
+//! The clients' connections: who holds one of the few descriptors, and who gives way when all are held.
+//!
+//! A connection whose request is open is never closed from here. Of the others, those that have been silent
+//! since they came go first, then those that have been idle longest: a client may lose its first request on a
+//! connection that is closed under it, but sends any later one again.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Notify, futures::OwnedNotified};
+use tokio::time::Instant;
+
+/// A client that means to ask has sent its request this long after its connection was accepted.
+const SILENT: Duration = Duration::from_millis(250);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// It has not asked yet.
+    Fresh,
+    /// Its request is open.
+    Asking,
+    /// Its last request is answered.
+    Idle,
+}
+
+struct Entry {
+    state: State,
+    since: Instant,
+    /// Told to leave already.
+    leaving: bool,
+    leave: Arc<Notify>,
+}
+
+/// All seats.
+pub(crate) struct Seats {
+    most: usize,
+    table: Mutex<(u64, BTreeMap<u64, Entry>)>,
+    freed: Notify,
+}
+
+impl Seats {
+    pub(crate) fn new(most: usize) -> Arc<Self> {
+        Arc::new(Seats { most: most.max(1), table: Mutex::default(), freed: Notify::new() })
+    }
+
+    fn table(&self) -> MutexGuard<'_, (u64, BTreeMap<u64, Entry>)> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until a seat is free; one that can be spared is told to leave.
+    pub(crate) async fn room(&self) {
+        loop {
+            let freed = self.freed.notified();
+            if self.spare() {
+                return;
+            }
+            freed.await;
+        }
+    }
+
+    /// Whether a seat is free already; if none is, tells one to leave, where nobody is leaving yet.
+    fn spare(&self) -> bool {
+        let (_, entries) = &mut *self.table();
+        if entries.len() < self.most {
+            return true;
+        }
+        if entries.values().any(|entry| entry.leaving) {
+            return false;
+        }
+        let now = Instant::now();
+        let rank = |entry: &Entry| match entry.state {
+            State::Fresh if now - entry.since >= SILENT => Some(0),
+            State::Idle => Some(1),
+            State::Fresh => Some(2),
+            State::Asking => None,
+        };
+        let ranked = entries.values_mut().filter_map(|entry| Some((rank(entry)?, entry)));
+        if let Some((_, entry)) = ranked.min_by_key(|(rank, entry)| (*rank, entry.since)) {
+            entry.leaving = true;
+            entry.leave.notify_one();
+        }
+        false
+    }
+
+    /// Takes a seat for a connection that was just accepted.
+    pub(crate) fn take(self: &Arc<Self>) -> Seat {
+        let (next, entries) = &mut *self.table();
+        *next += 1;
+        let leave = Arc::new(Notify::new());
+        let entry =
+            Entry { state: State::Fresh, since: Instant::now(), leaving: false, leave: leave.clone() };
+        entries.insert(*next, entry);
+        Seat { seats: self.clone(), number: *next, leave }
+    }
+}
+
+/// One connection's seat, free again when it is dropped.
+pub(crate) struct Seat {
+    seats: Arc<Seats>,
+    number: u64,
+    leave: Arc<Notify>,
+}
+
+impl Seat {
+    fn turn(&self, state: State) {
+        if let Some(entry) = self.seats.table().1.get_mut(&self.number) {
+            (entry.state, entry.since) = (state, Instant::now());
+        }
+    }
+
+    /// Its request has come whole.
+    pub(crate) fn asked(&self) {
+        self.turn(State::Asking);
+    }
+
+    /// Its request has its answer.
+    pub(crate) fn answered(&self) {
+        self.turn(State::Idle);
+        // It can be spared now: whoever waits for room looks again.
+        self.seats.freed.notify_one();
+    }
+
+    /// Whether no request of it is open.
+    pub(crate) fn spared(&self) -> bool {
+        self.state() != Some(State::Asking)
+    }
+
+    /// Whether no request ever came on it.
+    pub(crate) fn fresh(&self) -> bool {
+        self.state() == Some(State::Fresh)
+    }
+
+    fn state(&self) -> Option<State> {
+        self.seats.table().1.get(&self.number).map(|entry| entry.state)
+    }
+
+    /// Ends when it should make room for another.
+    pub(crate) fn told_to_leave(&self) -> OwnedNotified {
+        self.leave.clone().notified_owned()
+    }
+
+    /// It stays after all: its request came just then.
+    pub(crate) fn stays(&self) {
+        if let Some(entry) = self.seats.table().1.get_mut(&self.number) {
+            entry.leaving = false;
+        }
+        self.seats.freed.notify_one();
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.seats.table().1.remove(&self.number);
+        self.seats.freed.notify_one();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_util::FutureExt;
+    use proptest::prelude::*;
+    use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
+
+    const MOST: usize = 4;
+
+    #[derive(Clone, Debug)]
+    enum Step {
+        Come,
+        Ask(usize),
+        Answer(usize),
+        Go(usize),
+        Wait(u64),
+    }
+
+    fn steps() -> impl Strategy<Value = Vec<Step>> {
+        let step = prop_oneof![
+            4 => Just(Step::Come),
+            2 => any::<usize>().prop_map(Step::Ask),
+            1 => any::<usize>().prop_map(Step::Answer),
+            1 => any::<usize>().prop_map(Step::Go),
+            1 => (1..400u64).prop_map(Step::Wait),
+        ];
+        prop::collection::vec(step, 1..40)
+    }
+
+    /// The model: each seat's state and when it began; who must give way is picked by sorting it.
+    async fn walk(steps: Vec<Step>) {
+        let seats = Seats::new(MOST);
+        let mut held: Vec<(Seat, State, Instant)> = Vec::new();
+        for step in steps {
+            let pick = |n: usize, held: &Vec<_>| (!held.is_empty()).then(|| n % held.len().max(1));
+            match step {
+                Step::Come => {
+                    if seats.room().now_or_never().is_none() {
+                        let now = Instant::now();
+                        let silent = |i: &usize| held[*i].1 == State::Fresh && now - held[*i].2 >= SILENT;
+                        let mut order: Vec<usize> =
+                            (0..held.len()).filter(|&i| held[i].1 != State::Asking).collect();
+                        order.sort_by_key(|i| (!silent(i), held[*i].1 == State::Fresh, held[*i].2));
+                        let told: Vec<usize> = (0..held.len())
+                            .filter(|&i| held[i].0.told_to_leave().now_or_never().is_some())
+                            .collect();
+                        assert_eq!((held.len(), &told[..]), (MOST, &order[..order.len().min(1)]));
+                        let Some(&leaver) = told.first() else { continue };
+                        held.remove(leaver);
+                    }
+                    assert!(seats.room().now_or_never().is_some());
+                    held.push((seats.take(), State::Fresh, Instant::now()));
+                }
+                Step::Ask(n) | Step::Answer(n) => {
+                    let Some(n) = pick(n, &held) else { continue };
+                    let state = if matches!(step, Step::Ask(_)) { State::Asking } else { State::Idle };
+                    if state == State::Asking {
+                        held[n].0.asked()
+                    } else {
+                        held[n].0.answered()
+                    }
+                    (held[n].1, held[n].2) = (state, Instant::now());
+                }
+                Step::Go(n) => {
+                    if let Some(n) = pick(n, &held) {
+                        held.remove(n);
+                    }
+                }
+                Step::Wait(ms) => tokio::time::advance(Duration::from_millis(ms)).await,
+            }
+            // Instants that differ keep the model's order the only one.
+            tokio::time::advance(Duration::from_millis(1)).await;
+        }
+    }
+
+    /// Guards against closing an open request, and against keeping those out that mean to ask.
+    #[test]
+    fn who_gives_way_follows_the_model() {
+        let config = ProptestConfig { cases: 256, failure_persistence: None, ..ProptestConfig::default() };
+        let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+        let outcome = TestRunner::new_with_rng(config, rng).run(&steps(), |steps| {
+            let mut runtime = tokio::runtime::Builder::new_current_thread();
+            runtime.enable_time().start_paused(true).build().unwrap().block_on(walk(steps));
+            Ok(())
+        });
+        outcome.unwrap();
+    }
+}
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -11,7 +11,9 @@
 use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use pointcross_core::{Attempt, End, Ended, Report, Transport};
+use std::collections::HashSet;
 use std::error::Error;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::Semaphore;
 
@@ -32,18 +34,31 @@
     /// As the client wrote it.
     pub path: PathAndQuery,
     /// As the client wrote it.
-    pub correlation_id: HeaderValue,
+    pub id: OpenId,
     /// Empty for a read.
     pub body: Bytes,
     /// The operator's note of the request, which notes its attempts.
     pub note: RequestNote,
 }
 
+/// The id of an open request; free again when it is dropped.
+pub struct OpenId {
+    id: HeaderValue,
+    open: Arc<Mutex<HashSet<HeaderValue>>>,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.id);
+    }
+}
+
 /// The client for all nodes.
 pub struct Store {
     client: Client<Connector, Full<Bytes>>,
     room: Semaphore,
     report_names: Vec<String>,
+    open: Arc<Mutex<HashSet<HeaderValue>>>,
 }
 
 impl Store {
@@ -64,9 +79,17 @@
             client: builder.build(Connector(connector)),
             room: Semaphore::new(config.budget.attempts),
             report_names: config.parsed.decide.report_names.clone(),
+            open: Arc::default(),
         }
     }
 
+    /// Opens a request under this id, whichever front it came by; `None` while another has it. Guards against
+    /// a node that gets one id twice: the second would be a copy of a request that is still out.
+    pub fn open(&self, id: &HeaderValue) -> Option<OpenId> {
+        let opened = self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(id.clone());
+        opened.then(|| OpenId { id: id.clone(), open: self.open.clone() })
+    }
+
     fn report(&self, headers: &HeaderMap) -> Report {
         let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
         Report {
@@ -127,7 +150,7 @@
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = uri;
         let headers = request.headers_mut();
-        headers.insert(CORRELATION_ID, call.correlation_id.clone());
+        headers.insert(CORRELATION_ID, call.id.id.clone());
         let left = format!("{}u", attempt.time_left.as_micros());
         headers.insert(TIME_LEFT, HeaderValue::try_from(left).expect("digits and a letter"));
         if call.method == Method::PUT && call.body.is_empty() {
--- a/daemon/src/written.rs
+++ b/daemon/src/written.rs
@@ -14,7 +14,13 @@
 /// Set from the first write on until the last byte of what hyper holds has been written: hyper flushes a
 /// connection only when its own buffer is empty, and a request of at most 64 KiB goes through it in one piece.
 #[derive(Clone, Debug, Default)]
-struct Unfinished(Arc<AtomicBool>);
+pub(crate) struct Unfinished(Arc<AtomicBool>);
+
+impl Unfinished {
+    pub(crate) fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
 
 /// Whether the request on this connection broke off before its last byte was written.
 pub(crate) fn broke_off(connection: &CaptureConnection) -> bool {
@@ -52,6 +58,14 @@
     unfinished: Unfinished,
 }
 
+impl<T> Watched<T> {
+    /// Watches this connection; what is known of it can be asked elsewhere.
+    pub(crate) fn new(io: T) -> (Self, Unfinished) {
+        let unfinished = Unfinished::default();
+        (Watched { io, unfinished: unfinished.clone() }, unfinished)
+    }
+}
+
 impl<T: Connection> Connection for Watched<T> {
     fn connected(&self) -> Connected {
         self.io.connected().extra(self.unfinished.clone())
--- a/daemon/tests/http.rs
+++ b/daemon/tests/http.rs
@@ -43,6 +43,8 @@
         ("X-Time-Left: 7900m", "X-Time-Left: NaNm"),
         ("X-Time-Left: 7900m\r\n", ""),
         ("X-Correlation-Id: c5\r\n", ""),
+        ("X-Correlation-Id: c5", "X-Correlation-Id: "),
+        ("X-Correlation-Id: c5", "X-Correlation-Id: c5\r\nX-Correlation-Id: c6"),
         ("units=1", "units=none"),
         ("units=1", "units=-1"),
         (",hosts=1", ""),
@@ -55,10 +57,11 @@
         let mut stream = connect(running.http).await;
         let answer = exchange(&mut stream, whole.replace(from, to).as_bytes()).await.unwrap();
         assert_eq!(answer.status(), 400, "{from} as {to}");
+        assert_eq!(answer.headers["connection"], "close", "{from} as {to}");
         assert!(!answer.body.is_empty(), "{from}: no reason is given");
     }
     let large = request("reading-put", "standard", 9, 5, &vec![1; 64 * 1024 + 1]);
-    assert_eq!(exchange(&mut connect(running.http).await, &large).await.unwrap().status(), 400);
+    assert_eq!(exchange(&mut connect(running.http).await, &large).await.unwrap().status(), 413);
     let largest = request("reading-put", "standard", 9, 5, &vec![1; 64 * 1024]);
     assert_eq!(exchange(&mut connect(running.http).await, &largest).await.unwrap().status(), 200);
     assert_eq!(seen.all().len(), 1);
@@ -74,22 +77,85 @@
     assert_eq!((answer.status(), seen.all().len()), (400, 0));
 }
 
+/// Guards against a second request that runs: hidden in the first one's body, or under its id.
 #[tokio::test]
-async fn a_full_front_makes_room_with_each_answer() {
-    let (store, _) = store(|_, _| ok("")).await;
+async fn nothing_hidden_in_a_body_and_no_second_copy_reaches_a_node() {
+    let (store, seen) =
+        store(|message, _| if message.path().ends_with("9") { Deed::Silence } else { ok("") }).await;
+    let running = Running::start(store, "").await;
+    let whole = |id, body: &[u8]| String::from_utf8(request("reading-put", "standard", 8, id, body)).unwrap();
+    let hidden = format!("0\r\n\r\n{}", whole(7, b"rain"));
+    let outer = whole(5, hidden.as_bytes());
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    for both in [
+        outer.replace("Content-Length", &format!("{chunked}Content-Length")),
+        outer.replace("Tier", &format!("{chunked}Tier")),
+        outer.replace("\r\n\r\n0", &format!("\r\n{chunked}\r\n0")),
+    ] {
+        let mut stream = connect(running.http).await;
+        let answer = exchange(&mut stream, both.as_bytes()).await.unwrap();
+        assert_eq!((answer.status(), &answer.headers["connection"][..]), (411, "close"));
+        // Nothing that follows on the connection is answered.
+        assert!(read_message(&mut stream).await.is_none());
+    }
+    let read = whole(6, b"x").replace("PUT", "GET").replace("reading-put", "reading-get");
+    assert_eq!(exchange(&mut connect(running.http).await, read.as_bytes()).await.unwrap().status(), 400);
+    assert_eq!(seen.all().len(), 0);
+
+    let mut first = connect(running.http).await;
+    first.write_all(&request("reading-get", "standard", 9, 1, b"")).await.unwrap();
+    until(|| seen.all().len() == 1).await;
+    let again = request("reading-put", "standard", 8, 1, b"rain");
+    assert_eq!(exchange(&mut connect(running.http).await, &again).await.unwrap().status(), 409);
+    assert_eq!(seen.all().len(), 1);
+    // The id is free again once its request is over.
+    drop(first);
+    until(|| running.core.open_requests() == 0).await;
+    assert_eq!(exchange(&mut connect(running.http).await, &again).await.unwrap().status(), 200);
+}
+
+/// Guards against connections that say nothing, or never end what they say, and keep others out.
+#[tokio::test]
+async fn silent_connections_give_way_and_end_in_time_while_open_requests_stay() {
+    let (go, wait) = tokio::sync::watch::channel(false);
+    let (store, _) = stand_in(move |_| {
+        let mut wait = wait.clone();
+        async move {
+            wait.wait_for(|go| *go).await.unwrap();
+            ok("late")
+        }
+    })
+    .await;
     let (discovery, _) = stand_in(|_| async { Deed::Silence }).await;
     let mut config = config(store, discovery, "");
     config.budget.front = 4;
     let running = Running::with(config).await;
-    let mut held = Vec::new();
-    for id in 0..20 {
-        let mut stream = connect(running.http).await;
-        let read = request("reading-get", "standard", 9, id, b"");
-        let answer = exchange(&mut stream, &read).await.unwrap();
-        // Up to three stay open; the fourth is told to go, so the next finds its place.
-        assert_eq!((answer.status(), answer.headers.contains_key("connection")), (200, id >= 3), "{id}");
-        held.push(stream);
+    let (core, http) = (running.core.clone(), running.http);
+    let mut asking = connect(http).await;
+    asking.write_all(&request("reading-get", "standard", 9, 0, b"")).await.unwrap();
+    until(|| core.open_requests() == 1).await;
+    let begun = Instant::now();
+    let mut silent = Vec::new();
+    for n in 0..20 {
+        let mut stream = connect(http).await;
+        // Nothing at all, or half a head, or a head whose body never comes.
+        let write = request("reading-put", "standard", 9, 100 + n, b"rain");
+        stream.write_all(&write[..[0, 20, write.len() - 1][n as usize % 3]]).await.unwrap();
+        silent.push(stream);
+    }
+    // Newer ones found room all the same, at once.
+    let ready = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+    assert_eq!(exchange(&mut connect(http).await, ready).await.unwrap().status(), 200);
+    assert!(begun.elapsed() < std::time::Duration::from_secs(2));
+    for mut stream in silent {
+        // An error or a close, either within the time that such a client is owed it.
+        if let Some(answer) = read_message(&mut stream).await {
+            assert_eq!(answer.status(), 400);
+        }
     }
+    assert!(begun.elapsed() < std::time::Duration::from_secs(8));
+    go.send_replace(true);
+    assert_eq!(read_message(&mut asking).await.unwrap().body, b"late");
 }
 
 #[tokio::test]
@@ -232,7 +298,12 @@
                 pieces[piece as usize] = Some(vec![byte; 32]);
                 (write(piece, &[byte; 32]), 200, Some(vec![]))
             }
-            Step::Malformed => (read(1)[..].to_ascii_uppercase(), 400, None),
+            Step::Malformed => {
+                let answer = exchange(&mut stream, &read(1)[..].to_ascii_uppercase()).await.unwrap();
+                assert_eq!((answer.status(), &answer.headers["connection"][..]), (400, "close"));
+                stream = connect(http).await;
+                continue;
+            }
             Step::Leave(cut) => {
                 // Never the whole request: what was not sent whole must not run.
                 let whole = write(1, &[b'x'; 32]);
