Keep node connections in a pool that waits for quiet, and bound an answer's head and body

Seen: with hyper-util's pool a connection is handed on the moment its answer ends. Checked: hyper itself closes a connection when more comes in the same read (read in its source, and tested), so only what comes a little later slips through; hyper's default of 400 KB for a head and no bound on a begun answer also left a spoilt answer out until the request's deadline. At fault: daemon/src/store.rs: Client::builder gives no say in when a connection is reused; carry waited for head and body without end. A begun answer is whole within 300 ms (a node stands still for 130 to 250), 1xx in front begins none; figures that are no number tell nothing. Tests: a model of what nodes send against what clients hear; it fails with the quiet set to 0.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -16,7 +16,7 @@
 /// The environment variable that names the operator's file.
 pub const OPERATOR_FILE: &str = "POINTCROSS_OPERATOR";
 /// Descriptors kept back for discovery, the listeners, the runtime and the log.
-const OWN_SOCKETS: usize = 48;
+const OWN_SOCKETS: usize = 32;
 
 /// What the program goes by.
 #[derive(Clone, Debug)]
@@ -55,21 +55,17 @@
 pub struct Budget {
     /// Clients' connections.
     pub front: usize,
-    /// Attempts out at once.
-    pub attempts: usize,
-    /// Idle connections to one node.
-    pub idle_per_node: usize,
+    /// Connections to storage nodes, in use or idle.
+    pub nodes: usize,
 }
 
 impl Budget {
     /// Clients get three fifths: they hold one connection for each open request, and the module keeps far
     /// fewer than that out at the nodes.
-    fn of(sockets: usize, nodes: usize, nbd: usize) -> Self {
+    fn of(sockets: usize, nbd: usize) -> Self {
         let free = sockets.saturating_sub(OWN_SOCKETS + nbd).max(10);
-        let store = free * 2 / 5;
-        let attempts = store * 2 / 3;
-        let idle_per_node = ((store - attempts) / nodes.max(24)).max(1);
-        Budget { front: free - store, attempts, idle_per_node }
+        let nodes = free * 2 / 5;
+        Budget { front: free - nodes, nodes }
     }
 }
 
@@ -387,7 +383,7 @@
         let otlp = operator.otlp.map(OperatorOtlp::check).transpose()?;
         let nbd = operator.nbd.map(|nbd| nbd.check(&parsed)).transpose()?;
         let nbd_sockets = nbd.as_ref().map_or(0, |nbd| nbd.most_sessions);
-        let budget = Budget::of(file.limits.sockets, known.members.len() * 2, nbd_sockets);
+        let budget = Budget::of(file.limits.sockets, nbd_sockets);
         Ok(Config {
             name: stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned()),
             listen: address("RELAY_LISTEN", &listen)?,
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -331,7 +331,7 @@
 
 async fn connection(stream: TcpStream, seat: Seat, routes: Router, shutdown: Shutdown) {
     let _ = stream.set_nodelay(true);
-    let (stream, unfinished) = Watched::new(TokioIo::new(stream));
+    let (stream, wire) = Watched::new(TokioIo::new(stream));
     let seat = Arc::new(seat);
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(MOST_HEAD);
@@ -353,12 +353,12 @@
             }
             () = &mut first, if !came => {
                 came = true;
-                if seat.fresh() && !unfinished.get() {
+                if seat.fresh() && !wire.unfinished() {
                     return;
                 }
             }
             () = seat.told_to_leave() => {
-                if seat.spared() && !unfinished.get() {
+                if seat.spared() && !wire.unfinished() {
                     return;
                 }
                 seat.stays();
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod http;
 pub mod nbd;
+mod pool;
 pub mod reload;
 pub mod rpc;
 mod seats;
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -1,26 +1,26 @@
 //! The storage nodes' side: one attempt is one HTTP request to one node.
 
 use crate::config::Config;
+use crate::pool::{Link, NoLink, Pool};
 use crate::telemetry::RequestNote;
-use crate::written::{Connector, broke_off};
 use bytes::Bytes;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
 use pointcross_core::{Attempt, End, Ended, Report, Transport};
 use std::collections::HashSet;
-use std::error::Error;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::sync::Semaphore;
 
 /// A body holds at most this much.
 pub const MOST_BODY: usize = 64 * 1024;
 /// A request's id, from its client to its node.
 pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
+/// An answer that has begun is whole within this: longer than a node stands still for, and short enough to
+/// ask again in time.
+const ANSWER: Duration = Duration::from_millis(300);
 /// How long the sender will wait.
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
@@ -55,8 +55,7 @@
 
 /// The client for all nodes.
 pub struct Store {
-    client: Client<Connector, Full<Bytes>>,
-    room: Semaphore,
+    pool: Arc<Pool>,
     report_names: Vec<String>,
     open: Arc<Mutex<HashSet<HeaderValue>>>,
 }
@@ -64,20 +63,12 @@
 impl Store {
     /// A client within the configuration's limits; it holds no connection yet.
     pub fn new(config: &Config) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        let connect_time = config.parsed.decide.connect_time;
-        connector.set_connect_timeout((connect_time > 0.0).then(|| millis(connect_time)));
-        let mut builder = Client::builder(TokioExecutor::new());
-        // A resend by the library would be an attempt that nobody decided on, and a write could run twice.
-        builder.retry_canceled_requests(false);
+        let time = |ms: f64| if ms > 0.0 { millis(ms) } else { Duration::MAX };
+        let decide = &config.parsed.decide;
         // A node closes idle connections at its keepalive; what is written to one from then on is lost.
-        let idle = (config.parsed.keepalive > 0.0).then(|| millis(config.parsed.keepalive * 0.8));
-        builder.pool_timer(TokioTimer::new()).pool_idle_timeout(idle);
-        builder.pool_max_idle_per_host(config.budget.idle_per_node);
+        let keep = time(config.parsed.keepalive * 0.8);
         Store {
-            client: builder.build(Connector(connector)),
-            room: Semaphore::new(config.budget.attempts),
+            pool: Pool::new(config.budget.nodes, time(decide.connect_time), keep),
             report_names: config.parsed.decide.report_names.clone(),
             open: Arc::default(),
         }
@@ -93,7 +84,7 @@
     fn report(&self, headers: &HeaderMap) -> Report {
         let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
         Report {
-            elsewhere: text(ELSEWHERE).and_then(|units| units.trim().parse().ok()).unwrap_or(0.0),
+            elsewhere: text(ELSEWHERE).and_then(read_figure).unwrap_or(0.0),
             load: text(LOAD).and_then(|load| read_load(load, &self.report_names)).unwrap_or_default(),
         }
     }
@@ -103,6 +94,11 @@
     Duration::try_from_secs_f64(ms / 1000.0).unwrap_or(Duration::MAX)
 }
 
+/// Reads a figure that counts something; what is none tells nothing.
+fn read_figure(text: &str) -> Option<f64> {
+    text.trim().parse().ok().filter(|figure: &f64| figure.is_finite() && *figure >= 0.0)
+}
+
 /// Reads `TEXT inflight=7, queue=2` into the values of these names, in their order.
 fn read_load(text: &str, names: &[String]) -> Option<Vec<f32>> {
     let fields = text.trim().strip_prefix("TEXT")?;
@@ -110,18 +106,12 @@
         fields
             .split(',')
             .filter_map(|field| field.split_once('='))
-            .find_map(|(key, value)| (key.trim() == name).then(|| value.trim().parse().ok()).flatten())
+            .find_map(|(key, value)| (key.trim() == name).then(|| read_figure(value)).flatten())
+            .map(|figure| figure as f32)
     };
     names.iter().map(value).collect()
 }
 
-/// Whether a request failed before its last byte was written: no connection came up, the library gave it up
-/// unsent, or its connection broke on the way.
-fn never_written(error: &hyper_util::client::legacy::Error, connection: &CaptureConnection) -> bool {
-    let cause = error.source().and_then(|cause| cause.downcast_ref::<hyper::Error>());
-    error.is_connect() || cause.is_some_and(hyper::Error::is_canceled) || broke_off(connection)
-}
-
 impl Transport for Store {
     type Call = Call;
     type Answer = Bytes;
@@ -136,47 +126,84 @@
 
 impl Store {
     async fn carry(&self, attempt: Attempt, call: &Call) -> Ended<Bytes> {
-        let Ok(_room) = self.room.try_acquire() else {
-            tracing::warn!("no room for another attempt");
-            return End::NotSent.into();
+        let mut link = match self.pool.link(attempt.target.address).await {
+            Ok(link) => link,
+            Err(NoLink::NoRoom) => return End::NotSent.into(),
+            Err(NoLink::NoWay) => return End::NoConnection.into(),
         };
-        let uri = http::Uri::builder()
-            .scheme("http")
-            .authority(attempt.target.address.to_string())
-            .path_and_query(call.path.clone())
-            .build()
-            .expect("an address and a path make a URI");
-        let mut request = http::Request::new(Full::new(call.body.clone()));
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = uri;
-        let headers = request.headers_mut();
-        headers.insert(CORRELATION_ID, call.id.id.clone());
-        let left = format!("{}u", attempt.time_left.as_micros());
-        headers.insert(TIME_LEFT, HeaderValue::try_from(left).expect("digits and a letter"));
-        if call.method == Method::PUT && call.body.is_empty() {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
-        }
-        let connection = capture_connection(&mut request);
-        let response = match self.client.request(request).await {
+        let (request, informed) = request(&attempt, call);
+        link.wire.forget_heard();
+        let response = tokio::select! {
+            biased;
+            response = link.sender.send_request(request) => response,
+            // Guards against a head that begins and never ends: the node has run the request, and what it
+            // sends is of no use.
+            () = begun_and_late(&link, &informed) => return End::Reset.into(),
+        };
+        let response = match response {
             Ok(response) => response,
             Err(error) => {
-                tracing::debug!(%error, cause = ?error.source(), node = attempt.target.name, "attempt");
-                return if never_written(&error, &connection) { End::NoConnection } else { End::Reset }
-                    .into();
+                tracing::debug!(%error, node = attempt.target.name, "attempt");
+                // What hyper gives up unsent, or breaks off before its last byte, never ran.
+                let never = error.is_canceled() || link.wire.unfinished();
+                return if never { End::NoConnection } else { End::Reset }.into();
             }
         };
         let (head, body) = response.into_parts();
         let report = self.report(&head.headers);
         let never_ran = head.headers.get(UNPROCESSED).is_some_and(|value| value == "1");
-        let end = match (Limited::new(body, MOST_BODY).collect().await, head.status) {
+        let body = read_answer(body).await;
+        if body.is_some() {
+            self.pool.give_back(link);
+        }
+        let end = match (body, head.status) {
             // The answer's head already proves it, whatever became of the body.
             (_, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT) if never_ran => {
                 End::TurnedAway
             }
-            (Ok(body), StatusCode::OK) => End::Served(body.to_bytes()),
-            (Err(error), _) if !error.is::<LengthLimitError>() => End::Reset,
+            (Some(body), StatusCode::OK) => End::Served(body),
+            (None, _) => End::Reset,
             _ => End::Error,
         };
         Ended { end, report }
     }
 }
+
+/// The request of an attempt, and whether a 1xx answer has come in front of its own.
+fn request(attempt: &Attempt, call: &Call) -> (http::Request<Full<Bytes>>, Arc<AtomicBool>) {
+    let mut request = http::Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = http::Uri::from(call.path.clone());
+    let headers = request.headers_mut();
+    let digits = |text: String| HeaderValue::try_from(text).expect("digits and marks");
+    headers.insert(header::HOST, digits(attempt.target.address.to_string()));
+    headers.insert(CORRELATION_ID, call.id.id.clone());
+    headers.insert(TIME_LEFT, digits(format!("{}u", attempt.time_left.as_micros())));
+    if call.method == Method::PUT && call.body.is_empty() {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
+    }
+    let informed = Arc::new(AtomicBool::new(false));
+    let noted = informed.clone();
+    hyper::ext::on_informational(&mut request, move |_| noted.store(true, Ordering::Relaxed));
+    (request, informed)
+}
+
+/// Ends when an answer began and its head was not whole in time; a 1xx answer in front begins none.
+async fn begun_and_late(link: &Link, informed: &AtomicBool) {
+    loop {
+        link.wire.heard().await;
+        tokio::time::sleep(ANSWER).await;
+        if !informed.swap(false, Ordering::Relaxed) {
+            return;
+        }
+    }
+}
+
+/// An answer's body, where it is one: short enough, as long as it says, and whole in time.
+async fn read_answer(body: Incoming) -> Option<Bytes> {
+    if body.size_hint().lower() > MOST_BODY as u64 {
+        return None;
+    }
+    let whole = tokio::time::timeout(ANSWER, Limited::new(body, MOST_BODY).collect()).await;
+    Some(whole.ok()?.ok()?.to_bytes())
+}
--- a/daemon/tests/common/mod.rs
+++ b/daemon/tests/common/mod.rs
@@ -61,6 +61,8 @@
     MidReply,
     /// Ends the connection without a word.
     Close,
+    /// Sends these bytes, each part a little later than the one before, and goes on reading.
+    Raw(Vec<Vec<u8>>),
 }
 
 pub fn ok(body: impl Into<Vec<u8>>) -> Deed {
@@ -94,6 +96,13 @@
                             return;
                         }
                         Deed::Close => return,
+                        Deed::Raw(parts) => {
+                            for part in parts {
+                                let _ = stream.write_all(&part).await;
+                                tokio::time::sleep(std::time::Duration::from_millis(1)).await;
+                            }
+                            continue;
+                        }
                     };
                     let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
                     if stream.write_all(&[head.as_bytes(), &body].concat()).await.is_err() {
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -19,7 +19,7 @@
 fn defaults_and_the_environment_fill_in() {
     let config = Config::from_texts(|_| None, &platform(), "", Wins::Variable).unwrap();
     assert_eq!((config.name.as_str(), config.seed, config.nbd), ("n0", 0x8c1f, None));
-    let held = config.budget.front + config.budget.attempts + config.budget.idle_per_node * 24;
+    let held = config.budget.front + config.budget.nodes;
     assert!(held < 1024, "{:?} is over the descriptors", config.budget);
     let variable = |key: &str| (key == "RELAY_LISTEN").then(|| "127.0.0.1:99".to_owned());
     assert_eq!(Config::from_texts(variable, &platform(), "", Wins::Variable).unwrap().listen.port(), 99);
