Forget replaced nodes everywhere, and close clients' connections idle for 2 s

Descriptors held at the schedulers: 60 to 120 of 256. Checked: requests broken on node connections (a probe logged how long each had been idle): ages 0.0 to 0.7 s, so not stale connections but resets under a request, which stay as they are. Timeouts of 1 to 1.5 % are the clients that go away. At fault: IDLE in daemon/src/http.rs kept idle clients' descriptors for 10 s; src/brain.rs nodes, core/src/nodes.rs tables and the attempts count by node in daemon/src/telemetry.rs grew with every node ever listed.

--- a/core/src/nodes.rs
+++ b/core/src/nodes.rs
@@ -1,7 +1,7 @@
 //! The node list: which address stands behind each name that the module uses.
 
 use pointcross_decide::{NodeEntry, NodeId, NodeState};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// One entry of discovery's list.
@@ -32,11 +32,13 @@
     pub address: SocketAddr,
 }
 
-/// All nodes that were ever listed.
+/// The nodes that are listed. What is gone is forgotten, since replaced nodes come under ever new ids; one that
+/// returns gets its old name, a hash of its id, back.
 #[derive(Default)]
 pub(crate) struct Nodes {
     by_name: HashMap<String, NodeId>,
     targets: HashMap<NodeId, Target>,
+    ready: HashSet<NodeId>,
 }
 
 impl Nodes {
@@ -52,10 +54,46 @@
                 node
             }
         };
-        self.targets.insert(node, Target { node, name, address });
+        if state == NodeState::Ready {
+            self.ready.insert(node)
+        } else {
+            self.ready.remove(&node)
+        };
+        if state == NodeState::Gone {
+            self.forget(&name, node);
+        } else {
+            self.targets.insert(node, Target { node, name, address });
+        }
         NodeEntry { node, zone, shard, state, started }
     }
 
+    /// Forgets all that a whole list does not name.
+    pub(crate) fn keep_only(&mut self, listed: &[Member]) {
+        let listed: HashSet<&str> = listed.iter().map(|member| member.name.as_str()).collect();
+        let missing = self.by_name.iter().filter(|(name, _)| !listed.contains(name.as_str()));
+        let missing: Vec<_> = missing.map(|(name, node)| (name.clone(), *node)).collect();
+        for (name, node) in missing {
+            self.ready.remove(&node);
+            self.forget(&name, node);
+        }
+    }
+
+    fn forget(&mut self, name: &str, node: NodeId) {
+        tracing::info!(%node, name, "node gone");
+        self.by_name.remove(name);
+        self.targets.remove(&node);
+    }
+
+    /// Whether any takes work.
+    pub(crate) fn any_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    /// How many are listed.
+    pub(crate) fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
     pub(crate) fn target(&self, node: NodeId) -> Option<&Target> {
         self.targets.get(&node)
     }
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::{Clock, span};
 use crate::nodes::{Member, Nodes, Target};
-use pointcross_decide::{Action, Event, ListKind, NodeState, RequestId, Scheduler, Settings, SettingsError};
+use pointcross_decide::{Action, Event, ListKind, RequestId, Scheduler, Settings, SettingsError};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -22,7 +22,6 @@
 struct State {
     scheduler: Scheduler,
     nodes: Nodes,
-    ready: HashMap<pointcross_decide::NodeId, bool>,
     next_id: RequestId,
     requests: HashMap<RequestId, mpsc::UnboundedSender<Order>>,
     timers: BinaryHeap<Reverse<(Instant, u32)>>,
@@ -45,7 +44,6 @@
         let state = State {
             scheduler: Scheduler::new(settings.clone(), seed, clock.now())?,
             nodes: Nodes::default(),
-            ready: HashMap::new(),
             next_id: 1,
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
@@ -62,7 +60,12 @@
 
     /// Whether the list names a node that takes work.
     pub fn can_serve(&self) -> bool {
-        self.lock().ready.values().any(|&ready| ready)
+        self.lock().nodes.any_ready()
+    }
+
+    /// How many nodes are listed.
+    pub fn listed_nodes(&self) -> usize {
+        self.lock().nodes.len()
     }
 
     /// How many requests are open.
@@ -74,10 +77,9 @@
     pub fn list(&self, kind: ListKind, members: Vec<Member>) {
         let mut state = self.lock();
         if matches!(kind, ListKind::Full | ListKind::Cached) {
-            state.ready.clear();
+            state.nodes.keep_only(&members);
         }
         let entries: Vec<_> = members.into_iter().map(|member| state.nodes.note(member)).collect();
-        state.ready.extend(entries.iter().map(|entry| (entry.node, entry.state == NodeState::Ready)));
         self.handle(&mut state, Event::List { kind, entries });
     }
 
--- a/core/tests/serve.rs
+++ b/core/tests/serve.rs
@@ -198,3 +198,23 @@
     settle().await;
     assert_eq!(held.out(), 2, "the fourth takes the room of the first");
 }
+
+/// Guards against a table of nodes that grows with every replacement.
+#[tokio::test(start_paused = true)]
+async fn the_node_table_holds_only_what_is_listed() {
+    let core = core();
+    let member = |n: u32, state| Member {
+        name: format!("s-{n}"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: 0,
+        shard: 0,
+        state,
+        started: f64::from(n),
+    };
+    for n in 2..500 {
+        core.list(ListKind::Changes, vec![member(n, NodeState::Ready), member(n - 1, NodeState::Gone)]);
+        assert_eq!((core.listed_nodes(), core.can_serve()), (1, true));
+    }
+    core.list(ListKind::Full, vec![member(900, NodeState::Draining)]);
+    assert_eq!((core.listed_nodes(), core.can_serve()), (1, false));
+}
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -29,8 +29,9 @@
 const PLAN: HeaderName = HeaderName::from_static("tier");
 const EXTRAS: HeaderName = HeaderName::from_static("io-info");
 const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
-/// A client that asks nothing more for this long loses its connection.
-const IDLE: Duration = Duration::from_secs(10);
+/// A client that asks nothing more for this long loses its connection. Guards against clients that ask once and
+/// stay: they hold descriptors on both sides, and others then find none to ask with.
+const IDLE: Duration = Duration::from_secs(2);
 /// A new connection has brought its first request whole by then, or is closed.
 const FIRST: Duration = Duration::from_millis(2500);
 /// A request's body follows its head within this.
--- a/daemon/src/seats.rs
+++ b/daemon/src/seats.rs
@@ -82,6 +82,20 @@
         false
     }
 
+    /// Tells the longest idle to leave while more than a quarter of all seats are idle: their clients may have
+    /// no descriptor left to ask with elsewhere.
+    fn thin_out(&self) {
+        let (_, entries) = &mut *self.table();
+        let idle = entries.values_mut().filter(|entry| entry.state == State::Idle && !entry.leaving);
+        let mut idle: Vec<_> = idle.collect();
+        if idle.len() > (self.most / 4).max(1)
+            && let Some(entry) = idle.iter_mut().min_by_key(|entry| entry.since)
+        {
+            entry.leaving = true;
+            entry.leave.notify_one();
+        }
+    }
+
     /// Takes a seat for a connection that was just accepted.
     pub(crate) fn take(self: &Arc<Self>) -> Seat {
         let (next, entries) = &mut *self.table();
@@ -116,6 +130,7 @@
     /// Its request has its answer.
     pub(crate) fn answered(&self) {
         self.turn(State::Idle);
+        self.seats.thin_out();
         // It can be spared now: whoever waits for room looks again.
         self.seats.freed.notify_one();
     }
@@ -217,6 +232,17 @@
                         held[n].0.answered()
                     }
                     (held[n].1, held[n].2) = (state, Instant::now());
+                    // One idle seat of four may stay; of more the longest idle goes.
+                    let idle = (0..held.len()).filter(|&i| held[i].1 == State::Idle);
+                    let mut idle: Vec<usize> = idle.collect();
+                    idle.sort_by_key(|&i| held[i].2);
+                    let answered = state == State::Idle && idle.len() > 1;
+                    let told = |i: &usize| held[*i].0.told_to_leave().now_or_never().is_some();
+                    let leaver = (0..held.len()).find(told);
+                    assert_eq!(leaver, answered.then(|| idle[0]));
+                    if let Some(leaver) = leaver {
+                        held.remove(leaver);
+                    }
                 }
                 Step::Go(n) => {
                     if let Some(n) = pick(n, &held) {
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -206,8 +206,7 @@
             ]);
             let span = span.start_with_context(tracer, &noted.context);
             let context = noted.context.with_span(span);
-            let node = attempt.target.name.clone();
-            NotedAttempt { instruments: noted.instruments.clone(), context, node, outcome: "given up" }
+            NotedAttempt { instruments: noted.instruments.clone(), context, outcome: "given up" }
         }))
     }
 }
@@ -232,7 +231,6 @@
 struct NotedAttempt {
     instruments: Arc<Instruments>,
     context: Context,
-    node: String,
     outcome: &'static str,
 }
 
@@ -256,8 +254,9 @@
         let outcome = KeyValue::new("pointcross.outcome", self.outcome);
         self.context.span().set_attribute(outcome.clone());
         self.context.span().end();
-        let node = KeyValue::new("pointcross.node", std::mem::take(&mut self.node));
-        self.instruments.attempts.add(1, &[node, outcome]);
+        // Counts go without the node's id, which its span has: ids are ever new, and each would stay a series
+        // of its own for as long as the program runs.
+        self.instruments.attempts.add(1, &[outcome]);
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -204,6 +204,8 @@
     /// Time over which arrivals are counted: the widest aim.
     inflow_span: f64,
     nodes: Vec<Node>,
+    /// Places in `nodes` that are free again.
+    vacant: Vec<usize>,
     by_id: BTreeMap<NodeId, usize>,
     jobs: BTreeMap<RequestId, Job>,
     turns: BTreeMap<u64, Turn>,
@@ -234,6 +236,7 @@
             inflow_span: settings.classes.iter().map(|c| c.aim).fold(1.0, f64::max),
             tightest_aim: tightest.max(settings.tick).max(1.0),
             nodes: Vec::new(),
+            vacant: Vec::new(),
             by_id: BTreeMap::new(),
             jobs: BTreeMap::new(),
             turns: BTreeMap::new(),
@@ -318,15 +321,19 @@
             let index = match self.by_id.get(&entry.node) {
                 Some(&index) => index,
                 None => {
-                    self.by_id.insert(entry.node, self.nodes.len());
-                    self.nodes.push(Node {
+                    let index = self.vacant.pop().unwrap_or(self.nodes.len());
+                    if index == self.nodes.len() {
+                        self.nodes.push(Node::default());
+                    }
+                    self.by_id.insert(entry.node, index);
+                    self.nodes[index] = Node {
                         id: entry.node,
                         gap_from: now,
                         floor: FLOOR_START,
                         last_answer: f64::NEG_INFINITY,
                         ..Node::default()
-                    });
-                    self.nodes.len() - 1
+                    };
+                    index
                 }
             };
             let before = self.homes.get(&entry.shard).map_or(0.0, |&home| self.nodes[home].served.fade(now));
@@ -358,6 +365,32 @@
             self.enqueue(now, id, actions);
         }
         self.pulse(now, actions);
+        self.forget_gone(now);
+    }
+
+    /// Frees the places of nodes that are gone, have a successor and are named by no request. Guards against
+    /// growth where nodes are replaced for ever; one that is only away keeps its shard, and what it has shown.
+    /// While it would still be cold it may return so, and what it was sent counts on.
+    fn forget_gone(&mut self, now: f64) {
+        let attempts = self.jobs.values().flat_map(|job| &job.attempts);
+        let named = attempts.map(|attempt| attempt.node).chain(self.jobs.values().map(|job| job.node));
+        let named: BTreeSet<usize> = named.chain(self.homes.values().copied()).collect();
+        let (nodes, vacant, cold_for) = (&mut self.nodes, &mut self.vacant, self.settings.rules.cold_for);
+        self.by_id.retain(|_, &mut index| {
+            let node = &nodes[index];
+            let cold = now < node.started + cold_for;
+            let keep = node.state != NodeState::Gone || cold || named.contains(&index);
+            if !keep {
+                nodes[index] = Node::default();
+                vacant.push(index);
+            }
+            keep
+        });
+    }
+
+    /// How many nodes are remembered.
+    pub fn remembered_nodes(&self) -> usize {
+        self.by_id.len()
     }
 
     /// The node for a request; a new object goes where its forecast is least.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -710,3 +710,37 @@
     assert!(!sent(&host.arrive(slow), 1));
     assert!(sent(&host.wait(8_100.0), 1), "a unit a second: eight units after eight seconds");
 }
+
+/// Guards against growth where nodes are replaced for ever, and against forgetting one that is only away.
+#[test]
+fn a_node_that_was_replaced_is_forgotten_and_one_that_is_away_is_not() {
+    let mut host = Host::new(settings());
+    let replacement = |n: u32| NodeEntry {
+        node: NodeId { address: [10, 1, (n >> 8) as u8, n as u8], port: 9000 },
+        started: f64::from(n * 1000) + 1.0,
+        ..entry(0)
+    };
+    let gone = |entry: NodeEntry| NodeEntry { state: NodeState::Gone, ..entry };
+    host.list(ListKind::Changes, vec![replacement(0)]);
+    let cold_for = settings().rules.cold_for as u32;
+    for n in 1..1000 {
+        host.now = f64::from(n * 1000);
+        host.list(ListKind::Changes, vec![replacement(n), gone(replacement(n - 1))]);
+        // What may still be cold is kept, lest it return and be sent too much.
+        assert!(host.scheduler.remembered_nodes() <= 4 + cold_for as usize / 1000);
+    }
+    // Requests find the last one.
+    host.now += 20_000.0;
+    host.list(ListKind::Full, vec![replacement(999), entry(1)]);
+    assert_eq!(host.scheduler.remembered_nodes(), 2);
+    let actions = host.arrive(request(1, host.now));
+    assert!(actions.contains(&Action::Send { request: 1, node: replacement(999).node, time_limit: None }));
+    // Gone without a successor: still remembered; a request that names it keeps one even beside a successor.
+    host.list(ListKind::Changes, vec![gone(replacement(999))]);
+    assert_eq!(host.scheduler.remembered_nodes(), 2);
+    host.list(ListKind::Changes, vec![replacement(1000)]);
+    assert_eq!(host.scheduler.remembered_nodes(), 3);
+    host.end_at(1, 0, replacement(999).node, Outcome::Served);
+    host.list(ListKind::Changes, vec![]);
+    assert_eq!(host.scheduler.remembered_nodes(), 2);
+}
