Pass on answers of several hundred KiB, wait 50 ms for quiet, and free NBD's silent sessions

Seen by the new model with such answers in it: a second copy, written 1 ms behind its answer, reached the connection with the next request and was served as its answer, though 10 ms of quiet had passed. Traced: the node's second small write waits for an acknowledgement (Nagle) that the kernel delays by 40 ms or sends with the next request. Ruled out: hyper, tokio's readiness, the runtime standing still. At fault: MOST_BODY for answers and QUIET in daemon/src/store.rs and pool.rs; the fixed 300 ms for a begun answer against aims of under 100 ms; a request's time counted from its head. Now: answers up to 2 MiB within a quarter of memory_mb, written in pieces; a begun answer goes on within the tightest aim; 50 ms of quiet; time from the last byte. The fronts make room only for a connection that has come; NBD sits on the same seats, and a command begun must end. Tests: the node model with large answers, silent NBD sessions and a command cut short.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -50,22 +50,26 @@
     File,
 }
 
-/// The descriptors that each side may hold; together they stay under the limit.
+/// The descriptors that each side may hold, and the memory for answers; together they stay under the limits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Budget {
     /// Clients' connections.
     pub front: usize,
     /// Connections to storage nodes, in use or idle.
     pub nodes: usize,
+    /// Bytes of answers that are held at once.
+    pub answer_bytes: usize,
 }
 
 impl Budget {
     /// Clients get three fifths: they hold one connection for each open request, and the module keeps far
     /// fewer than that out at the nodes.
-    fn of(sockets: usize, nbd: usize) -> Self {
-        let free = sockets.saturating_sub(OWN_SOCKETS + nbd).max(10);
+    fn of(limits: &PlatformLimits, nbd: usize) -> Self {
+        let free = limits.sockets.saturating_sub(OWN_SOCKETS + nbd).max(10);
         let nodes = free * 2 / 5;
-        Budget { front: free - nodes, nodes }
+        // A quarter of the memory: what is read of an answer is held once more on its way out.
+        let answer_bytes = (limits.memory_mb << 20).div_ceil(4).clamp(8 << 20, 1 << 30);
+        Budget { front: free - nodes, nodes, answer_bytes }
     }
 }
 
@@ -124,11 +128,12 @@
 #[serde(default)]
 struct PlatformLimits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 impl Default for PlatformLimits {
     fn default() -> Self {
-        PlatformLimits { sockets: 1024 }
+        PlatformLimits { sockets: 1024, memory_mb: 192 }
     }
 }
 
@@ -383,7 +388,7 @@
         let otlp = operator.otlp.map(OperatorOtlp::check).transpose()?;
         let nbd = operator.nbd.map(|nbd| nbd.check(&parsed)).transpose()?;
         let nbd_sockets = nbd.as_ref().map_or(0, |nbd| nbd.most_sessions);
-        let budget = Budget::of(file.limits.sockets, nbd_sockets);
+        let budget = Budget::of(&file.limits, nbd_sockets);
         Ok(Config {
             name: stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned()),
             listen: address("RELAY_LISTEN", &listen)?,
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -3,7 +3,7 @@
 use crate::config::Config;
 use crate::seats::{Seat, Seats};
 use crate::shutdown::{Phase, Shutdown};
-use crate::store::{CORRELATION_ID, Call, MOST_BODY, Store, TIME_LEFT};
+use crate::store::{CORRELATION_ID, Call, Content, MOST_BODY, Store, TIME_LEFT};
 use crate::telemetry::Telemetry;
 use crate::written::Watched;
 use axum::body::{Body, HttpBody, to_bytes};
@@ -174,12 +174,15 @@
         })
     }
 
-    async fn answer(&self, seat: &Seat, request: Request) -> Result<Answer<bytes::Bytes>, Malformed> {
+    async fn answer(&self, seat: &Seat, request: Request) -> Result<Answer<Content>, Malformed> {
         let now = Instant::now();
         let (head, body) = request.into_parts();
-        let new = self.decode(&head.method, head.uri.path(), &head.headers, now)?;
+        let mut new = self.decode(&head.method, head.uri.path(), &head.headers, now)?;
         let body = if new.writes {
-            read_body(body, new.deadline.min(now + BODY)).await?
+            let body = read_body(body, new.deadline.min(now + BODY)).await?;
+            // A request's time counts from its last byte.
+            new.deadline += now.elapsed();
+            body
         } else if body.is_end_stream() {
             Bytes::new()
         } else {
@@ -268,7 +271,7 @@
         seat.answered();
     }
     match answered {
-        Ok(Answer::Served(body)) => Body::from(body).into_response(),
+        Ok(Answer::Served(content)) => Body::new(content).into_response(),
         Ok(Answer::Refused { retry_after }) => {
             let seconds = format!("{:.3}", retry_after.as_secs_f64());
             (StatusCode::TOO_MANY_REQUESTS, [(header::RETRY_AFTER, seconds)]).into_response()
@@ -304,9 +307,9 @@
     let routes = router(front.clone());
     let accepting = async {
         loop {
-            seats.room().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
+                    seats.room().await;
                     tracker.spawn(connection(stream, seats.take(), routes.clone(), shutdown.clone()));
                 }
                 Err(error) => {
@@ -358,12 +361,7 @@
                     return;
                 }
             }
-            () = seat.told_to_leave() => {
-                if seat.spared() && !wire.unfinished() {
-                    return;
-                }
-                seat.stays();
-            }
+            () = seat.gives_way(|| !wire.unfinished()) => return,
             () = shutdown.reached(Phase::Draining), if !stopping => {
                 // Idle connections close now, the others with their answer.
                 stopping = true;
--- a/daemon/src/nbd/mod.rs
+++ b/daemon/src/nbd/mod.rs
@@ -3,6 +3,7 @@
 mod session;
 pub mod wire;
 
+use crate::seats::Seats;
 use crate::shutdown::{KEEP_ACCEPTING, Phase, Shutdown};
 use crate::store::{Call, Store};
 use crate::telemetry::Telemetry;
@@ -15,7 +16,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 use wire::{Errno, Geometry};
@@ -109,18 +109,22 @@
 
     /// Accepts sessions until the stop begins, then ends when every session has.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let room = Arc::new(Semaphore::new(self.config.most_sessions));
+        // Guards against clients that connect and say nothing: one that has not mounted an export gives way.
+        let seats = Seats::new(self.config.most_sessions);
         let accepting = async {
-            // The semaphore is never closed.
-            while let Ok(permit) = room.clone().acquire_owned().await {
+            loop {
                 match listener.accept().await {
                     Ok((stream, peer)) => {
+                        seats.room().await;
                         let _ = stream.set_nodelay(true);
-                        let front = self.clone();
+                        let (front, seat) = (self.clone(), seats.take());
                         self.sessions.spawn(async move {
-                            let ended = session::run(&front, stream).await;
+                            let ended = tokio::select! {
+                                biased;
+                                ended = session::run(&front, &seat, stream) => ended,
+                                () = seat.gives_way(|| true) => session::End::GaveWay,
+                            };
                             tracing::debug!(%peer, ?ended, "NBD session");
-                            drop(permit);
                         });
                     }
                     Err(error) => {
@@ -198,8 +202,10 @@
         let answer = self.core.serve(&*self.store, &call, request).await;
         call.note.answered(&answer);
         let message = match answer {
-            Answer::Served(body) if writes || body.len() == export.block as usize => return Ok(body),
-            Answer::Served(body) => format!("the store's block holds {} bytes", body.len()),
+            Answer::Served(content) if writes || content.bytes.len() == export.block as usize => {
+                return Ok(content.bytes);
+            }
+            Answer::Served(content) => format!("the store's block holds {} bytes", content.bytes.len()),
             Answer::Refused { retry_after } => {
                 format!("refused and never run; come back in {:.3} s", retry_after.as_secs_f64())
             }
--- a/daemon/src/nbd/session.rs
+++ b/daemon/src/nbd/session.rs
@@ -2,6 +2,7 @@
 
 use super::wire::{self, ClientOption, Command, Errno, OptionError, OptionReply, Reply, Request, WireError};
 use super::{BlockError, Export, Nbd};
+use crate::seats::Seat;
 use crate::shutdown::Phase;
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
@@ -32,6 +33,8 @@
     InOrder,
     /// Negotiation took too long.
     TooSlow,
+    /// It had not mounted an export when its place was needed.
+    GaveWay,
     /// The client left, or broke the protocol.
     Broken(#[allow(dead_code, reason = "for the log")] WireError),
 }
@@ -55,7 +58,10 @@
 }
 
 /// Runs a session to its end. Everything it holds is dropped with it.
-pub(super) async fn run<S: AsyncRead + AsyncWrite + Send + 'static>(front: &Arc<Nbd>, stream: S) -> End {
+pub(super) async fn run<S>(front: &Arc<Nbd>, seat: &Seat, stream: S) -> End
+where
+    S: AsyncRead + AsyncWrite + Send + 'static,
+{
     let (mut input, mut output) = tokio::io::split(stream);
     let negotiation =
         tokio::time::timeout(front.config.negotiation_time, negotiate(front, &mut input, &mut output));
@@ -68,6 +74,7 @@
         },
         () = front.shutdown.reached(Phase::Draining) => return End::InOrder,
     };
+    seat.asked();
     let (replies, waiting) = mpsc::unbounded_channel();
     let write = write_replies(output, waiting);
     let read = transmit(front, settled, input, replies);
@@ -170,7 +177,7 @@
         // The semaphore is never closed.
         let Ok(permit) = room.clone().acquire_owned().await else { break };
         let request = tokio::select! {
-            request = wire::read_request(&mut input) => request?,
+            request = wire::read_request(&mut input, front.config.negotiation_time) => request?,
             () = front.shutdown.reached(Phase::Draining) => break,
         };
         while commands.try_join_next().is_some() {}
--- a/daemon/src/nbd/wire.rs
+++ b/daemon/src/nbd/wire.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io;
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 const GREETING_MAGIC: u64 = 0x4e42_444d_4147_4943;
@@ -260,8 +261,20 @@
 }
 
 /// Reads one command, with a write's data.
-pub async fn read_request(input: &mut (impl AsyncRead + Unpin)) -> Result<Request, WireError> {
-    let magic = input.read_u32().await?;
+pub async fn read_request(
+    input: &mut (impl AsyncRead + Unpin),
+    within: Duration,
+) -> Result<Request, WireError> {
+    let first = input.read_u8().await?;
+    // Guards against a client that stops in the middle of a command and keeps its session for ever.
+    let rest = tokio::time::timeout(within, read_rest(first, input));
+    rest.await.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
+async fn read_rest(first: u8, input: &mut (impl AsyncRead + Unpin)) -> Result<Request, WireError> {
+    let mut magic = [first, 0, 0, 0];
+    input.read_exact(&mut magic[1..]).await?;
+    let magic = u32::from_be_bytes(magic);
     if magic != REQUEST_MAGIC {
         return Err(WireError::Magic(magic.into()));
     }
--- a/daemon/src/pool.rs
+++ b/daemon/src/pool.rs
@@ -14,9 +14,11 @@
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
-/// How long a connection must be quiet behind an answer. It is a timer's wait, not a look at the clock: when
-/// it has passed, the runtime has heard from the sockets too, however long this process stood still.
-const QUIET: Duration = Duration::from_millis(10);
+/// How long a connection must be quiet behind an answer: a node's second small write waits for the first one's
+/// acknowledgement (Nagle), which this side's kernel sends 40 ms late, or with the next request, at the worst
+/// moment. It is a timer's wait, not a look at the clock: when it has passed, the runtime has heard from the
+/// sockets too, however long this process stood still.
+const QUIET: Duration = Duration::from_millis(50);
 /// What is kept of an answer's head that has not ended yet.
 const MOST_HEAD: usize = 32 * 1024;
 
--- a/daemon/src/seats.rs
+++ b/daemon/src/seats.rs
@@ -1,4 +1,5 @@
-//! The clients' connections: who holds one of the few descriptors, and who gives way when all are held.
+//! The clients' connections, of either front: who holds one of the few descriptors, and who gives way when all
+//! are held.
 //!
 //! A connection whose request is open is never closed from here. Of the others, those that have been silent
 //! since they came go first, then those that have been idle longest: a client may lose its first request on a
@@ -7,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{Notify, futures::OwnedNotified};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// A client that means to ask has sent its request this long after its connection was accepted.
@@ -47,7 +48,7 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits until a seat is free; one that can be spared is told to leave.
+    /// Waits until a seat is free for a connection that has come; one that can be spared is told to leave.
     pub(crate) async fn room(&self) {
         loop {
             let freed = self.freed.notified();
@@ -135,11 +136,6 @@
         self.seats.freed.notify_one();
     }
 
-    /// Whether no request of it is open.
-    pub(crate) fn spared(&self) -> bool {
-        self.state() != Some(State::Asking)
-    }
-
     /// Whether no request ever came on it.
     pub(crate) fn fresh(&self) -> bool {
         self.state() == Some(State::Fresh)
@@ -149,17 +145,20 @@
         self.seats.table().1.get(&self.number).map(|entry| entry.state)
     }
 
-    /// Ends when it should make room for another.
-    pub(crate) fn told_to_leave(&self) -> OwnedNotified {
-        self.leave.clone().notified_owned()
-    }
-
-    /// It stays after all: its request came just then.
-    pub(crate) fn stays(&self) {
-        if let Some(entry) = self.seats.table().1.get_mut(&self.number) {
-            entry.leaving = false;
+    /// Ends when it is to make room for another, no request of it is open and nothing of an answer is still
+    /// to be written.
+    pub(crate) async fn gives_way(&self, written: impl Fn() -> bool) {
+        loop {
+            self.leave.notified().await;
+            if self.state() != Some(State::Asking) && written() {
+                return;
+            }
+            // Its request came just then: it stays, and another is looked for.
+            if let Some(entry) = self.seats.table().1.get_mut(&self.number) {
+                entry.leaving = false;
+            }
+            self.seats.freed.notify_one();
         }
-        self.seats.freed.notify_one();
     }
 }
 
@@ -214,7 +213,7 @@
                             (0..held.len()).filter(|&i| held[i].1 != State::Asking).collect();
                         order.sort_by_key(|i| (!silent(i), held[*i].1 == State::Fresh, held[*i].2));
                         let told: Vec<usize> = (0..held.len())
-                            .filter(|&i| held[i].0.told_to_leave().now_or_never().is_some())
+                            .filter(|&i| held[i].0.gives_way(|| true).now_or_never().is_some())
                             .collect();
                         assert_eq!((held.len(), &told[..]), (MOST, &order[..order.len().min(1)]));
                         let Some(&leaver) = told.first() else { continue };
@@ -237,7 +236,7 @@
                     let mut idle: Vec<usize> = idle.collect();
                     idle.sort_by_key(|&i| held[i].2);
                     let answered = state == State::Idle && idle.len() > 1;
-                    let told = |i: &usize| held[*i].0.told_to_leave().now_or_never().is_some();
+                    let told = |i: &usize| held[*i].0.gives_way(|| true).now_or_never().is_some();
                     let leaver = (0..held.len()).find(told);
                     assert_eq!(leaver, answered.then(|| idle[0]));
                     if let Some(leaver) = leaver {
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -3,24 +3,33 @@
 use crate::config::Config;
 use crate::pool::{Link, NoLink, Pool};
 use crate::telemetry::RequestNote;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use pointcross_core::{Attempt, End, Ended, Report, Transport};
 use std::collections::HashSet;
+use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-/// A body holds at most this much.
+/// A request's body holds at most this much.
 pub const MOST_BODY: usize = 64 * 1024;
+/// An answer's body holds at most this much: nodes send several hundred KiB, beyond what the protocol's text says
+/// of bodies, and some claim gigabytes.
+const MOST_ANSWER: usize = 2 << 20;
+/// A body is passed on in pieces of this size, so that what is buffered of it twice stays small.
+const PIECE: usize = 64 * 1024;
 /// A request's id, from its client to its node.
 pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
-/// An answer that has begun is whole within this: longer than a node stands still for, and short enough to
-/// ask again in time.
-const ANSWER: Duration = Duration::from_millis(300);
+/// An answer that has begun goes on within the tightest aim, and within this: longer than a node stands still
+/// for, and short enough to ask again in time.
+const MOST_PAUSE: Duration = Duration::from_millis(300);
 /// How long the sender will wait.
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
@@ -57,6 +66,10 @@
 pub struct Store {
     pool: Arc<Pool>,
     report_names: Vec<String>,
+    /// How long an answer that has begun may stand still.
+    pause: Duration,
+    /// Memory for answers, in bytes.
+    memory: Arc<Semaphore>,
     open: Arc<Mutex<HashSet<HeaderValue>>>,
 }
 
@@ -70,6 +83,8 @@
         Store {
             pool: Pool::new(config.budget.nodes, time(decide.connect_time), keep),
             report_names: config.parsed.decide.report_names.clone(),
+            pause: decide.classes.iter().map(|class| millis(class.aim)).fold(MOST_PAUSE, Duration::min),
+            memory: Arc::new(Semaphore::new(config.budget.answer_bytes)),
             open: Arc::default(),
         }
     }
@@ -114,9 +129,9 @@
 
 impl Transport for Store {
     type Call = Call;
-    type Answer = Bytes;
+    type Answer = Content;
 
-    async fn attempt(&self, attempt: Attempt, call: &Call) -> Ended<Bytes> {
+    async fn attempt(&self, attempt: Attempt, call: &Call) -> Ended<Content> {
         let note = call.note.attempt(&attempt);
         let ended = self.carry(attempt, call).await;
         note.ended(&ended.end);
@@ -125,7 +140,7 @@
 }
 
 impl Store {
-    async fn carry(&self, attempt: Attempt, call: &Call) -> Ended<Bytes> {
+    async fn carry(&self, attempt: Attempt, call: &Call) -> Ended<Content> {
         let mut link = match self.pool.link(attempt.target.address).await {
             Ok(link) => link,
             Err(NoLink::NoRoom) => return End::NotSent.into(),
@@ -138,7 +153,7 @@
             response = link.sender.send_request(request) => response,
             // Guards against a head that begins and never ends: the node has run the request, and what it
             // sends is of no use.
-            () = begun_and_late(&link, &informed) => return End::Reset.into(),
+            () = begun_and_late(&link, &informed, self.pause) => return End::Reset.into(),
         };
         let response = match response {
             Ok(response) => response,
@@ -152,7 +167,7 @@
         let (head, body) = response.into_parts();
         let report = self.report(&head.headers);
         let never_ran = head.headers.get(UNPROCESSED).is_some_and(|value| value == "1");
-        let body = read_answer(body).await;
+        let body = self.read_answer(body).await;
         if body.is_some() {
             self.pool.give_back(link);
         }
@@ -167,6 +182,62 @@
         };
         Ended { end, report }
     }
+
+    /// An answer's body, where it is one: short enough, as long as it says, and never at a stand. Its memory
+    /// is taken from what all answers share, and given back with the last of it.
+    async fn read_answer(&self, mut body: Incoming) -> Option<Content> {
+        let stated = usize::try_from(body.size_hint().lower()).ok()?;
+        if stated > MOST_ANSWER {
+            return None;
+        }
+        let mut memory = self.take_memory(stated.max(PIECE)).await?;
+        let mut bytes = BytesMut::with_capacity(stated);
+        while let Some(frame) = tokio::time::timeout(self.pause, body.frame()).await.ok()? {
+            let Ok(data) = frame.ok()?.into_data() else { continue };
+            if bytes.len() + data.len() > MOST_ANSWER {
+                return None;
+            }
+            if bytes.len() + data.len() > memory.num_permits() {
+                memory.merge(self.take_memory(data.len().max(PIECE)).await?);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Some(Content { bytes: bytes.freeze(), _memory: memory })
+    }
+
+    async fn take_memory(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        // The semaphore is never closed; the request's deadline bounds the wait.
+        self.memory.clone().acquire_many_owned(u32::try_from(bytes).ok()?).await.ok()
+    }
+}
+
+/// What a node sent, with the memory it takes.
+#[derive(Debug)]
+pub struct Content {
+    /// The bytes, unchanged.
+    pub bytes: Bytes,
+    _memory: OwnedSemaphorePermit,
+}
+
+impl Body for Content {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let piece = self.bytes.len().min(PIECE);
+        Poll::Ready((piece > 0).then(|| Ok(Frame::data(self.bytes.split_to(piece)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
+    }
 }
 
 /// The request of an attempt, and whether a 1xx answer has come in front of its own.
@@ -189,21 +260,12 @@
 }
 
 /// Ends when an answer began and its head was not whole in time; a 1xx answer in front begins none.
-async fn begun_and_late(link: &Link, informed: &AtomicBool) {
+async fn begun_and_late(link: &Link, informed: &AtomicBool, pause: Duration) {
     loop {
         link.wire.heard().await;
-        tokio::time::sleep(ANSWER).await;
+        tokio::time::sleep(pause).await;
         if !informed.swap(false, Ordering::Relaxed) {
             return;
         }
     }
 }
-
-/// An answer's body, where it is one: short enough, as long as it says, and whole in time.
-async fn read_answer(body: Incoming) -> Option<Bytes> {
-    if body.size_hint().lower() > MOST_BODY as u64 {
-        return None;
-    }
-    let whole = tokio::time::timeout(ANSWER, Limited::new(body, MOST_BODY).collect()).await;
-    Some(whole.ok()?.ok()?.to_bytes())
-}
--- a/daemon/tests/nbd.rs
+++ b/daemon/tests/nbd.rs
@@ -450,6 +450,31 @@
     assert_eq!(ended.expect("it is never ended").unwrap_or(0), 0);
 }
 
+/// Guards against clients that mount nothing, or stop in the middle of a command, and keep others out.
+#[tokio::test]
+async fn silent_sessions_give_way_and_mounted_ones_stay() {
+    let (store, _) = store(keeping()).await;
+    let settings = "most_sessions = 2\nnegotiation_ms = 3600000";
+    let running = Running::start(store, &operator("standard", settings)).await;
+    let address = running.nbd.unwrap();
+    let mut mounted = Client::go(address, true).await;
+    let mut silent = Vec::new();
+    for _ in 0..5 {
+        silent.push(Client::greet(address).await);
+    }
+    let another = Client::go(address, true);
+    let mut another = tokio::time::timeout(Duration::from_secs(20), another).await.expect("kept out");
+    for client in [&mut mounted, &mut another] {
+        assert_eq!(errno(&client.run(command(1, 1, 0, 512, &[7; 512])).await), 0);
+    }
+    let settings = "negotiation_ms = 50";
+    let running = Running::start(store, &operator("standard", settings)).await;
+    let mut halfway = Client::go(running.nbd.unwrap(), true).await;
+    halfway.send(command(1, 1, 0, 512, &[7; 512])[..100].to_vec()).await;
+    let ended = tokio::time::timeout(Duration::from_secs(20), halfway.stream.read(&mut [0; 1])).await;
+    assert_eq!(ended.expect("it is never ended").unwrap_or(0), 0);
+}
+
 #[tokio::test]
 async fn both_fronts_draw_on_one_limit() {
     let (store, seen) = store(keeping()).await;
--- a/daemon/tests/store.rs
+++ b/daemon/tests/store.rs
@@ -15,6 +15,8 @@
     NoiseBehind(bool),
     InformationInFront,
     UnreadableFigures,
+    /// Far more than a request may hold, in pieces.
+    Large,
     // From here on spoilt: the request has run, and nothing of this may reach a client.
     Noise,
     EndlessHead,
@@ -30,7 +32,7 @@
 
 impl Sends {
     fn spoilt(self) -> bool {
-        !matches!(self, Own | Twice(_) | NoiseBehind(_) | InformationInFront | UnreadableFigures)
+        !matches!(self, Own | Twice(_) | NoiseBehind(_) | InformationInFront | UnreadableFigures | Large)
     }
 
     fn parts(self, body: &[u8]) -> Vec<Vec<u8>> {
@@ -53,6 +55,11 @@
                     &body.len().to_string(),
                 )]
             }
+            Large => {
+                let large = large(body);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", large.len());
+                [head.into_bytes()].into_iter().chain(large.chunks(100_000).map(<[u8]>::to_vec)).collect()
+            }
             Noise => vec![b"\x16\x03\x01 no answer at all\r\n\r\n".to_vec()],
             EndlessHead => vec![b"HTTP/1.1 200 OK\r\nX-More: ".to_vec(), vec![b'a'; 300_000]],
             HeadCutShort => vec![b"HTTP/1.1 200 OK\r\nContent-Le".to_vec()],
@@ -65,12 +72,16 @@
     }
 }
 
+fn large(body: &[u8]) -> Vec<u8> {
+    body.iter().copied().cycle().take(400_000).collect()
+}
+
 fn steps() -> impl Strategy<Value = Vec<Sends>> {
     let spoilt = [Noise, EndlessHead, HeadCutShort, BadLength, TooLong, TooShort, ThreeGigabytes, NoLength];
     let good = [Own, Twice(false), Twice(true), NoiseBehind(false), NoiseBehind(true)];
     let step = prop_oneof![
         4 => prop::sample::select(good.to_vec()),
-        1 => prop::sample::select(vec![InformationInFront, UnreadableFigures]),
+        1 => prop::sample::select(vec![InformationInFront, UnreadableFigures, Large]),
         2 => prop::sample::select(spoilt.to_vec()),
     ];
     prop::collection::vec(step, 1..8)
@@ -92,7 +103,11 @@
         let body = format!("answer {n}");
         let write = request("reading-put", "standard", 9, n as u64, body.as_bytes());
         let answer = exchange(&mut stream, &write).await.unwrap();
-        let wanted = if sends.spoilt() { (502, Vec::new()) } else { (200, body.into_bytes()) };
+        let wanted = match sends {
+            Large => (200, large(body.as_bytes())),
+            sends if sends.spoilt() => (502, Vec::new()),
+            _ => (200, body.into_bytes()),
+        };
         assert_eq!(
             (answer.status(), answer.body, seen.all().len()),
             (wanted.0, wanted.1, n + 1),
