Do not let one lost attempt keep a node's place, and ask discovery again in time

At fault: fits() and rate() in src/brain.rs count an attempt whose connection fell silent until its end. Now: out for two tightest aims, an attempt leaves its node's count; it is a failure of the node only where nothing came since. The request itself goes on as before. Tests: a lost attempt's place, a node silent altogether, the waits between calls.

--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -17,7 +17,10 @@
 /// A watch that hears nothing is answered after this long: short enough that a link that died in silence is
 /// noticed before the module counts as told without having heard.
 const HOLD: Duration = Duration::from_secs(4);
-/// How long past that an answer may take before the call counts as failed.
+/// How long past that an answer may take before the call counts as failed. Guards against a call that fell
+/// silent: its news counts as told 2 s past its hold, and until then another call must have brought it.
+const LATE: Duration = Duration::from_millis(800);
+/// How long a call that waits for nothing may take.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// A list is far smaller; a longer answer is not one.
 const MOST_BYTES: usize = 4 << 20;
@@ -159,7 +162,7 @@
             let body = body.collect().await.map_err(CallError::Body)?.to_bytes();
             Ok(List::parse(&body, &zones)?)
         };
-        let patience = if from.is_some() { HOLD + PATIENCE } else { PATIENCE };
+        let patience = if from.is_some() { HOLD + LATE } else { PATIENCE };
         Box::pin(
             async move { tokio::time::timeout(patience, answer).await.unwrap_or(Err(CallError::Silent)) },
         )
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,8 +28,14 @@
 const PULSE_TICKS: f64 = 2.0;
 /// Failures in a row, without an answer between, that make a node suspect: one or two are chance.
 const SUSPECT_AFTER: u32 = 3;
+/// An attempt out for so many tightest aims counts as lost: its connection may have fallen silent alone, and
+/// must not keep a node's few places. Few answers take that long, and they still count when they come.
+const LOST_AIMS: f64 = 2.0;
 /// A request's pause after `full` or no connection, as a part of the tightest aim.
 const PAUSE_PART: f64 = 0.25;
+/// The first wait before the list is asked for again, as a part of the tightest aim: what an answer that was
+/// lost would have told counts as told two seconds after it was due.
+const ASK_AGAIN_PART: f64 = 0.5;
 /// The longest wait between trials of a suspect node, in tightest aims.
 const TRIAL_CAP_AIMS: f64 = 8.0;
 /// What better arrivals leave of a rate is reckoned as this part at the least.
@@ -106,6 +112,8 @@
     held_units: f64,
     out: usize,
     out_units: f64,
+    /// The attempts among these, oldest first: when sent, whose, and their units.
+    outs: VecDeque<(f64, RequestId, f64)>,
     pace: Pace,
     /// Since when work is out there without an answer.
     gap_from: f64,
@@ -245,7 +253,7 @@
             due: BTreeSet::new(),
             pulse_set: false,
             follow_at: settings.ask_for_list.then_some(now),
-            follow_wait: settings.max_retry_after.max(tightest),
+            follow_wait: tightest * ASK_AGAIN_PART,
             extra_sends: VecDeque::new(),
             accepted: VecDeque::new(),
             last_log: f64::NEG_INFINITY,
@@ -310,7 +318,7 @@
             return;
         }
         if kind != ListKind::Cached {
-            self.follow_wait = self.settings.max_retry_after.max(self.tightest_aim);
+            self.follow_wait = self.tightest_aim * ASK_AGAIN_PART;
         }
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             for node in &mut self.nodes {
@@ -496,7 +504,14 @@
         let (index, sent) = (attempt.node, attempt.sent);
         let (units, volume) = (job.request.units, job.request.volume);
         let key = job.request.key;
-        self.learn(now, index, sent, units, end.outcome, actions);
+        // A lost one has left the node's count already; a late answer shows that the node lives.
+        let outs = &mut self.nodes[index].outs;
+        if let Some(place) = outs.iter().position(|out| out.1 == end.request) {
+            outs.remove(place);
+            self.learn(now, index, sent, units, end.outcome, actions);
+        } else if end.outcome == Outcome::Served {
+            (self.nodes[index].last_answer, self.nodes[index].failures) = (now, 0);
+        }
         if let Some(volume) = self.volumes.get_mut(&volume) {
             // Served elsewhere beyond the reserve is no debt: a surge there must not cost it later ones here.
             let left = (volume.reserve.level - end.elsewhere.max(0.0)).max(0.0);
@@ -591,19 +606,42 @@
                 if end == Outcome::TimedOut {
                     node.gap_from = now;
                 }
-                node.failures += 1;
-                if node.failures >= SUSPECT_AFTER {
-                    let doublings = (node.failures - SUSPECT_AFTER).min(16);
-                    let wait = self.tightest_aim * f64::from(1u32 << doublings).min(TRIAL_CAP_AIMS);
-                    node.trial_at = now + wait * jitter;
-                    let text = format!("node {} is suspect: {} failures in a row", node.id, node.failures);
-                    self.log(now, out, text);
-                }
+                self.failed(now, index, jitter, out);
             }
             Outcome::Cancelled | Outcome::NotSent => {}
         }
     }
 
+    /// Counts a failure of a node; after a few in a row it waits for its next trial.
+    fn failed(&mut self, now: f64, index: usize, jitter: f64, out: &mut Vec<Action>) {
+        let node = &mut self.nodes[index];
+        node.failures += 1;
+        if node.failures >= SUSPECT_AFTER {
+            let doublings = (node.failures - SUSPECT_AFTER).min(16);
+            let wait = self.tightest_aim * f64::from(1u32 << doublings).min(TRIAL_CAP_AIMS);
+            node.trial_at = now + wait * jitter;
+            let text = format!("node {} is suspect: {} failures in a row", node.id, node.failures);
+            self.log(now, out, text);
+        }
+    }
+
+    /// Takes attempts that are out for too long out of a node's count. Where nothing came from the node since,
+    /// each is a failure of it; else only its connection was lost.
+    fn give_up_lost(&mut self, now: f64, index: usize, actions: &mut Vec<Action>) {
+        let limit = self.tightest_aim * LOST_AIMS;
+        while let Some(&(sent, _, units)) = self.nodes[index].outs.front().filter(|out| now - out.0 > limit) {
+            let node = &mut self.nodes[index];
+            node.outs.pop_front();
+            node.out -= 1;
+            node.out_units = if node.out == 0 { 0.0 } else { node.out_units - units };
+            node.gap_from = now;
+            if node.last_answer <= sent {
+                let jitter = 0.5 + self.random();
+                self.failed(now, index, jitter, actions);
+            }
+        }
+    }
+
     /// Everything that time alone brings: deadlines, rests, pauses, refills.
     fn pulse(&mut self, now: f64, actions: &mut Vec<Action>) {
         while let Some(&(_, id)) = self.due.first().filter(|due| f64::from_bits(due.0) <= now) {
@@ -707,6 +745,7 @@
         if self.nodes[index].queue.is_empty() {
             return;
         }
+        self.give_up_lost(now, index, actions);
         let rate = self.rate(now, index);
         let mut ahead = self.nodes[index].out_units;
         for (id, value) in self.order(now, index) {
@@ -850,6 +889,7 @@
         }
         node.out += 1;
         node.out_units += units;
+        node.outs.push_back((now, id, units));
         if cold {
             node.cold_sends.push_back((now, units));
         }
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -744,3 +744,57 @@
     host.list(ListKind::Changes, vec![]);
     assert_eq!(host.scheduler.remembered_nodes(), 2);
 }
+
+/// Guards against one attempt whose connection fell silent, which kept its node's only place for seconds.
+#[test]
+fn an_attempt_that_is_lost_alone_does_not_keep_its_nodes_place() {
+    let mut host = Host::new(settings());
+    host.warm_up(1, 20, 50.0);
+    let arrive = |host: &mut Host, id| {
+        let now = host.now;
+        host.arrive(Request { deadline: now + 5000.0, ..request(id, now) })
+    };
+    let held = (100..120).find(|&id| !sent(&arrive(&mut host, id), id)).expect("the bound holds");
+    // Nothing comes for two of the tightest aims: then the next one has its place.
+    assert!(!sent(&host.wait(380.0), held));
+    assert!(sent(&host.wait(40.0), held));
+    host.now += 20.0;
+    host.end(held, 0, Outcome::Served);
+    // A lost one's answer still counts when it comes; its end is told once and harms nothing.
+    for id in 100..held {
+        host.end(id, 0, Outcome::Served);
+    }
+    assert!(sent(&arrive(&mut host, 200), 200));
+}
+
+/// Guards against a node that is silent altogether being fed one request after another.
+#[test]
+fn lost_attempts_of_a_silent_node_make_it_suspect() {
+    let mut host = Host::new(settings());
+    host.warm_up(1, 20, 50.0);
+    let mut sends = 0;
+    for id in 100..400 {
+        let now = host.now;
+        let actions = host.arrive(Request { deadline: now + 20_000.0, ..request(id, now) });
+        sends += actions.iter().filter(|action| matches!(action, Action::Send { .. })).count();
+        let later = host.wait(40.0);
+        sends += later.iter().filter(|action| matches!(action, Action::Send { .. })).count();
+    }
+    // Twelve seconds: a few by the bound, then trials that grow apart.
+    assert!((5..=20).contains(&sends), "{sends} sends to a node that never answers");
+}
+
+/// Guards against news that counts as told before the list is asked for again.
+#[test]
+fn a_failed_call_is_made_again_soon_and_then_later_each_time() {
+    let mut host = Host::new(Settings { ask_for_list: true, ..settings() });
+    let mut waits = Vec::new();
+    for _ in 0..6 {
+        host.list(ListKind::Failed, vec![]);
+        let from = host.now;
+        while !host.wait(4.0).contains(&Action::FollowList { on: true }) {}
+        waits.push(host.now - from);
+    }
+    assert!(waits[0] <= 200.0, "{waits:?}");
+    assert!(waits[5] >= 1000.0, "{waits:?}");
+}
