--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,7 +30,7 @@
 const SUSPECT_AFTER: u32 = 3;
 /// An attempt out for so many tightest aims counts as lost: its connection may have fallen silent alone, and
 /// must not keep a node's few places. Few answers take that long, and they still count when they come.
-const LOST_AIMS: f64 = 2.0;
+const LOST_AIMS: f64 = 2.5;
 /// A request's pause after `full` or no connection, as a part of the tightest aim.
 const PAUSE_PART: f64 = 0.25;
 /// The first wait before the list is asked for again, as a part of the tightest aim: what an answer that was
