Serve kept connections on after SIGTERM until shortly before the platform's kill

Ruled out: the moved watch (followed within 0.5 s), the list, cold nodes. At fault: daemon/src/http.rs closed every connection with its answer from the signal on. Now: a phase Lingering between Leaving and Draining, on both fronts; what comes then is given an answer 0.3 s before the kill.

--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -188,6 +188,8 @@
         } else {
             return Err(Malformed::ReadBody);
         };
+        // Guards against an answer that the platform's kill cuts off.
+        new.deadline = self.shutdown.answer_by().map_or(new.deadline, |by| new.deadline.min(by));
         // Two requests with one id would be taken for one that was sent twice.
         let id = self.store.open(&head.headers[CORRELATION_ID]).ok_or(Malformed::Open)?;
         seat.asked();
@@ -201,7 +203,7 @@
 
     /// Whether answers close their connections.
     fn closes(&self) -> bool {
-        self.shutdown.phase() != Phase::Running
+        self.shutdown.phase() >= Phase::Draining
     }
 }
 
@@ -322,10 +324,14 @@
     };
     tokio::select! {
         () = accepting => {}
-        () = shutdown.reached(Phase::Draining) => {}
+        () = shutdown.reached(Phase::Lingering) => {}
     }
     drop(listener);
     tracker.close();
+    tokio::select! {
+        () = tracker.wait() => return,
+        () = shutdown.reached(Phase::Draining) => {}
+    }
     // What was taken is over by its deadline; a client that is still sending then has lost nothing.
     let classes = &front.core.settings().classes;
     let longest = classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use telemetry::Telemetry;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -101,6 +102,8 @@
         tracing::info!(name = self.config.name, ?http, ?nbd, "serving");
         let Daemon { config, core, store, telemetry, http, nbd, discovery } = self;
         let mut place = discovery.subscribe();
+        let longest = core.settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
+        shutdown.longest_request(Duration::try_from_secs_f64(longest / 1000.0).unwrap_or_default());
         let mut follow = core.follow_orders();
         core.list(ListKind::Cached, config.known.members.clone());
         let front = Arc::new(http::Front::new(
--- a/daemon/src/nbd/mod.rs
+++ b/daemon/src/nbd/mod.rs
@@ -4,7 +4,7 @@
 pub mod wire;
 
 use crate::seats::Seats;
-use crate::shutdown::{KEEP_ACCEPTING, Phase, Shutdown};
+use crate::shutdown::{Phase, Shutdown};
 use crate::store::{Call, Store};
 use crate::telemetry::Telemetry;
 use bytes::Bytes;
@@ -140,18 +140,28 @@
         }
         drop(listener);
         self.sessions.close();
+        tokio::select! {
+            () = self.sessions.wait() => return,
+            () = self.shutdown.reached(Phase::Draining) => {}
+        }
         // What was taken is over by its class's deadline; a client that does not read its replies is not
         // waited for beyond that.
         let classes = &self.core.settings().classes;
         let longest = classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
-        let patience = KEEP_ACCEPTING + Duration::from_secs_f64(longest / 1000.0 + 0.2);
+        let patience = Duration::from_secs_f64(longest / 1000.0 + 0.2);
         let _ = tokio::time::timeout(patience, self.sessions.wait()).await;
     }
 
-    fn stopping(&self) -> bool {
+    /// Whether no session is to begin.
+    fn leaving(&self) -> bool {
         self.shutdown.phase() != Phase::Running
     }
 
+    /// Whether no command is to begin.
+    fn stopping(&self) -> bool {
+        self.shutdown.phase() >= Phase::Draining
+    }
+
     /// The export of this name; the only one needs none.
     fn export(&self, name: &str) -> Option<&Export> {
         match self.config.exports.as_slice() {
@@ -180,6 +190,7 @@
                 break id;
             }
         };
+        let last = Instant::now() + class.deadline;
         let request = NewRequest {
             class: class.number,
             plan: export.plan,
@@ -190,7 +201,7 @@
             volume_hosts: export.hosts,
             client_repeat: false,
             writes,
-            deadline: Instant::now() + class.deadline,
+            deadline: self.shutdown.answer_by().map_or(last, |by| last.min(by)),
         };
         let call = Call {
             method: if writes { Method::PUT } else { Method::GET },
@@ -212,7 +223,7 @@
             Answer::Failed if writes => "failed; it may have run, so read it before writing again".into(),
             Answer::Failed => "failed; come back at any time".into(),
         };
-        let errno = if self.stopping() { Errno::Shutdown } else { Errno::Io };
+        let errno = if self.leaving() { Errno::Shutdown } else { Errno::Io };
         Err(BlockError { errno, message })
     }
 }
--- a/daemon/src/nbd/session.rs
+++ b/daemon/src/nbd/session.rs
@@ -107,7 +107,7 @@
         let replies = match option {
             ClientOption::ExportName(name) => {
                 // This option knows no error: what cannot be had ends the session.
-                let export = front.export(&name).filter(|_| !front.stopping()).cloned();
+                let export = front.export(&name).filter(|_| !front.leaving()).cloned();
                 let Some(export) = export else { return Ok(None) };
                 wire::put_export(&mut out, export.geometry(), no_zeroes);
                 settled = Some(Settled { export, structured });
@@ -123,7 +123,7 @@
                     front.config.exports.iter().map(|export| OptionReply::Server(export.name.clone()));
                 names.chain([OptionReply::Ack]).collect()
             }
-            ClientOption::Info(_) | ClientOption::Go(_) if front.stopping() => {
+            ClientOption::Info(_) | ClientOption::Go(_) if front.leaving() => {
                 vec![OptionReply::Error(OptionError::Shutdown)]
             }
             ClientOption::Info(ref name) | ClientOption::Go(ref name) => match front.export(name) {
