--- a/src/brain.rs
+++ b/src/brain.rs
@@ -377,7 +377,7 @@
     }
 
     /// Frees the places of nodes that are gone, have a successor and are named by no request. Guards against
-    /// growth where nodes are replaced for ever; one that is only away keeps its shard, and what it has shown.
+    /// growth where nodes are replaced for ever; one that is only away keeps its shard and what it showed.
     /// While it would still be cold it may return so, and what it was sent counts on.
     fn forget_gone(&mut self, now: f64) {
         let attempts = self.jobs.values().flat_map(|job| &job.attempts);
@@ -625,7 +625,7 @@
         }
     }
 
-    /// Takes attempts that are out for too long out of a node's count. Where nothing came from the node since,
+    /// Takes attempts that are out too long out of a node's count. Where nothing came from the node since,
     /// each is a failure of it; else only its connection was lost.
     fn give_up_lost(&mut self, now: f64, index: usize, actions: &mut Vec<Action>) {
         let limit = self.tightest_aim * LOST_AIMS;
