--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,52 @@
+//! The program: `serve` (also without a sub-command), `check-config`, `call` and `completions`.
+
+mod call;
+mod check;
+mod log;
+mod serve;
+
+use clap::{CommandFactory, Parser, Subcommand};
+use std::process::ExitCode;
+
+/// A scheduler between the clients of a records archive and its storage nodes.
+#[derive(Parser)]
+#[command(name = "pointcross", version, about)]
+struct Arguments {
+    #[command(flatten)]
+    log: log::Log,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve until told to stop; what is done without a sub-command. Configured by the environment
+    Serve,
+    /// Check configuration files; tells every fault with its key and ends with 2 where there is one
+    CheckConfig(check::Check),
+    /// Read or write one piece of data through the client library
+    Call(call::Call),
+    /// Print a shell's completions
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if let Err(error) = arguments.log.start() {
+        eprintln!("pointcross: --log-filter: {error}");
+        return ExitCode::from(2);
+    }
+    match arguments.command.unwrap_or(Command::Serve) {
+        Command::Serve => serve::run(),
+        Command::CheckConfig(check) => check.run(),
+        Command::Call(call) => call.run(),
+        Command::Completions { shell } => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "pointcross", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
--- a/daemon/src/main.rs
+++ b/cli/src/serve.rs
@@ -1,18 +1,20 @@
-//! One scheduler, configured by the environment; SIGHUP has it read its files again,
-//! SIGTERM stops it in good order.
+//! One scheduler, configured by the environment; SIGHUP has it read its files again, SIGTERM stops it in good
+//! order.
 
 use pointcross::{Daemon, config::Config, shutdown::Shutdown};
 use std::error::Error;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Serves until told to stop.
 #[tokio::main(flavor = "current_thread")]
-async fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
+pub async fn run() -> ExitCode {
     match serve().await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("pointcross: {error}");
+            for line in error.to_string().lines() {
+                eprintln!("pointcross: {line}");
+            }
             ExitCode::FAILURE
         }
     }
--- /dev/null
+++ b/client/src/client.rs
@@ -0,0 +1,403 @@
+//! The client: built once, cloned freely, and called from any task of the runtime it was built on.
+
+use crate::config::{Checked, ClassConfig, ClientConfig, Faults, SetConfig};
+use crate::decide::CallId;
+use crate::decide::again::{Doubt, Proof};
+use crate::decide::engine::{Engine, Event, NoFurther, Verdict};
+use crate::drive::{Driver, NOT_BEGUN, Order, Sending};
+use crate::link::{Parcel, encode};
+use crate::observe::Observer;
+use bytes::Bytes;
+use http::{HeaderValue, Method};
+use pointcross_net::platform::{Extras, write_path};
+use std::future::IntoFuture;
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::Instant;
+use tracing::Instrument;
+
+/// A piece of data and what its request counts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Item {
+    /// The volume.
+    pub volume: u64,
+    /// The piece.
+    pub piece: u64,
+    /// The volume's plan, under its name in the settings.
+    pub plan: String,
+    /// The shard that holds it; `None` for a new object.
+    pub shard: Option<u32>,
+    /// The request's size in units.
+    pub units: f64,
+}
+
+impl Item {
+    /// A piece of one unit.
+    pub fn new(volume: u64, piece: u64, plan: impl Into<String>, shard: Option<u32>) -> Self {
+        Item { volume, piece, plan: plan.into(), shard, units: 1.0 }
+    }
+
+    /// The same, of this size.
+    pub fn units(self, units: f64) -> Self {
+        Item { units, ..self }
+    }
+}
+
+/// Why a refused call was not served, and when to return.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refused {
+    /// How long to stay away, where it was told.
+    pub retry_after: Option<Duration>,
+    /// Why the library made no further try.
+    pub why: NoFurther,
+}
+
+/// How a call failed. The two are never one: a program may send again what never ran.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+pub enum Failure {
+    /// It may have run. A write must not be sent again before its effect was looked for.
+    #[error("failed, and may have run: {0:?}")]
+    MayHaveRun(Doubt),
+    /// It never ran.
+    #[error("failed, and never ran: {0:?}")]
+    NeverRan(Proof),
+}
+
+/// The one end of a call.
+#[derive(Clone, Debug, PartialEq)]
+#[must_use = "a refused or failed call has done nothing, or nobody knows what"]
+pub enum Outcome {
+    /// Served, with the answer's body.
+    Served(Bytes),
+    /// Refused; trying again later is harmless.
+    Refused(Refused),
+    /// Failed.
+    Failed(Failure),
+}
+
+impl Outcome {
+    /// The answer's body, where it was served.
+    pub fn served(self) -> Option<Bytes> {
+        match self {
+            Outcome::Served(body) => Some(body),
+            _ => None,
+        }
+    }
+}
+
+/// Why a call cannot be made at all. It names what is wrong; nothing was sent.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum CallError {
+    /// The configuration knows no such class.
+    #[error("class: {0:?} is not configured")]
+    Class(String),
+    /// More than one class, or none, would do.
+    #[error("class: {0} classes could be meant; name one")]
+    AnyClass(usize),
+    /// No set takes this volume.
+    #[error("volume: {0:016x} belongs to no set")]
+    Volume(u64),
+    /// The plan's name cannot stand in a header.
+    #[error("plan: {0:?} cannot stand in a header")]
+    Plan(String),
+    /// The size is not a positive number.
+    #[error("units: {0} is not over 0")]
+    Units(f64),
+    /// A read has a body.
+    #[error("body: a read has none")]
+    ReadBody,
+    /// A body is over what the platform's requests hold.
+    #[error("body: {0} bytes, over 65536")]
+    Large(usize),
+}
+
+/// A request's body holds at most this much (PROTOCOL).
+const MOST_BODY: usize = 64 * 1024;
+
+struct Inner {
+    driver: Arc<Driver>,
+    checked: Checked,
+    /// Correlation ids: a bijection of a counter, apart from other clients' by a number of their own.
+    ids: AtomicU64,
+    apart: u64,
+}
+
+/// The client. Clones share everything; it ends with the last of them and its calls.
+#[derive(Clone)]
+pub struct Client(Arc<Inner>);
+
+/// Builds a [`Client`].
+#[derive(Default)]
+pub struct Builder {
+    config: ClientConfig,
+    observer: Option<Arc<dyn Observer>>,
+}
+
+impl Builder {
+    /// Starts from this configuration.
+    pub fn config(mut self, config: ClientConfig) -> Self {
+        self.config = config;
+        self
+    }
+
+    /// Adds or replaces a set of schedulers that takes all volumes no other set names.
+    pub fn set(mut self, name: &str, schedulers: impl IntoIterator<Item = SocketAddr>) -> Self {
+        let set =
+            SetConfig { schedulers: schedulers.into_iter().collect(), spread: None, volumes: Vec::new() };
+        self.config.sets.insert(name.to_owned(), set);
+        self
+    }
+
+    /// Adds or replaces a class.
+    pub fn class(mut self, name: &str, class: ClassConfig) -> Self {
+        self.config.classes.insert(name.to_owned(), class);
+        self
+    }
+
+    /// Sets the seed of all that is drawn, for tests.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.config.seed = Some(seed);
+        self
+    }
+
+    /// Changes anything else.
+    pub fn with(mut self, change: impl FnOnce(&mut ClientConfig)) -> Self {
+        change(&mut self.config);
+        self
+    }
+
+    /// Has this observer told of what happens.
+    pub fn observer(mut self, observer: Arc<dyn Observer>) -> Self {
+        self.observer = Some(observer);
+        self
+    }
+
+    /// Checks the configuration and starts the client.
+    ///
+    /// # Panics
+    ///
+    /// Outside a tokio runtime: the client's timers run on the one it is built on.
+    pub fn build(self) -> Result<Client, Faults> {
+        let checked = self.config.check()?;
+        let apart = self.config.seed.unwrap_or_else(|| RandomState::new().hash_one("ids"));
+        let engine = Engine::new(checked.rules.clone());
+        let driver = Driver::start(engine, self.observer.unwrap_or_else(|| Arc::new(())));
+        Ok(Client(Arc::new(Inner { driver, checked, ids: AtomicU64::new(0), apart })))
+    }
+}
+
+/// A call that is about to be made: await it.
+#[must_use = "a call is made when it is awaited"]
+pub struct Call<'a> {
+    client: &'a Client,
+    class: Option<String>,
+    item: Item,
+    body: Option<Bytes>,
+    deadline: Option<Duration>,
+}
+
+impl Call<'_> {
+    /// Names the class; it need not be named where only one of the configured classes reads, or writes.
+    pub fn class(mut self, class: impl Into<String>) -> Self {
+        self.class = Some(class.into());
+        self
+    }
+
+    /// Waits for so long, over all tries, instead of the class's deadline.
+    pub fn deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = Some(deadline);
+        self
+    }
+}
+
+impl<'a> IntoFuture for Call<'a> {
+    type Output = Result<Outcome, CallError>;
+    type IntoFuture = Pin<Box<dyn Future<Output = Self::Output> + Send + 'a>>;
+
+    /// Makes the call. Dropping the future gives it up: what is out is broken off, and nothing more is sent.
+    fn into_future(self) -> Self::IntoFuture {
+        Box::pin(async move {
+            let Call { client, class, item, body, deadline } = self;
+            client.0.call(class, item, body, deadline).await
+        })
+    }
+}
+
+impl Client {
+    /// Starts to build a client.
+    pub fn builder() -> Builder {
+        Builder::default()
+    }
+
+    /// Reads a piece of data.
+    pub fn get(&self, item: Item) -> Call<'_> {
+        Call { client: self, class: None, item, body: None, deadline: None }
+    }
+
+    /// Writes a piece of data.
+    pub fn put(&self, item: Item, body: impl Into<Bytes>) -> Call<'_> {
+        Call { client: self, class: None, item, body: Some(body.into()), deadline: None }
+    }
+
+    /// Makes a call of any class: with a body it must write, without one it must read.
+    pub fn call(&self, class: impl Into<String>, item: Item, body: Option<Bytes>) -> Call<'_> {
+        Call { client: self, class: Some(class.into()), item, body, deadline: None }
+    }
+
+    /// Gives a set other schedulers. Calls that wait for one that is no longer listed go elsewhere; what is out
+    /// there comes to its end. Tells whether there is such a set and the list is not empty.
+    pub fn set_schedulers(&self, set: &str, schedulers: Vec<SocketAddr>) -> bool {
+        let number = self.0.checked.set_names.iter().position(|name| name == set);
+        let Some(number) = number.filter(|_| !schedulers.is_empty()) else { return false };
+        self.0.driver.tell(Event::Schedulers { set: number as u16, addresses: schedulers });
+        true
+    }
+}
+
+/// Tells the driver when a call's future is dropped before its end.
+struct Waiting<'a> {
+    driver: &'a Driver,
+    call: CallId,
+    ended: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.driver.dropped(self.call);
+        }
+    }
+}
+
+impl Inner {
+    fn class(&self, name: Option<&str>, writes: bool) -> Result<usize, CallError> {
+        let classes = &self.checked.classes;
+        if let Some(name) = name {
+            let found = classes.iter().position(|class| class.name == name && class.write == writes);
+            return found.ok_or_else(|| CallError::Class(name.to_owned()));
+        }
+        let mut fitting = (0..classes.len()).filter(|&n| classes[n].write == writes);
+        match (fitting.next(), fitting.count()) {
+            (Some(only), 0) => Ok(only),
+            (first, more) => Err(CallError::AnyClass(usize::from(first.is_some()) + more)),
+        }
+    }
+
+    fn next_id(&self) -> u64 {
+        // An odd multiplier: no two numbers of the counter come out alike.
+        let number = self.ids.fetch_add(1, Ordering::Relaxed);
+        number.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ self.apart.rotate_left(17)
+    }
+
+    /// The life of a call: checked, entered, sent wherever and as often as the engine says, ended once.
+    async fn call(
+        &self,
+        class: Option<String>,
+        item: Item,
+        body: Option<Bytes>,
+        deadline: Option<Duration>,
+    ) -> Result<Outcome, CallError> {
+        let number = self.class(class.as_deref(), body.is_some())?;
+        let class = &self.checked.classes[number];
+        let set = self.checked.set_of_volume.get(&item.volume).copied().or(self.checked.other_volumes);
+        let set = set.ok_or(CallError::Volume(item.volume))?;
+        let plan = HeaderValue::try_from(&item.plan).map_err(|_| CallError::Plan(item.plan.clone()))?;
+        if !(item.units > 0.0 && item.units.is_finite()) {
+            return Err(CallError::Units(item.units));
+        }
+        if let Some(body) = body.as_ref().filter(|body| body.len() > MOST_BODY) {
+            return Err(CallError::Large(body.len()));
+        }
+        let mut parcel = Parcel {
+            method: if class.write { Method::PUT } else { Method::GET },
+            path: write_path(&class.name, item.volume, item.piece),
+            class: HeaderValue::try_from(&class.name).expect("fits into a path"),
+            plan,
+            extras: HeaderValue::from_static(""),
+            body: body.unwrap_or_default(),
+        };
+        let extras = Extras { units: item.units, shard: item.shard, hosts: 1.0 };
+        let span =
+            tracing::debug_span!("call", class = class.name, volume = format_args!("{:016x}", item.volume));
+        let life = async {
+            let begun = Instant::now();
+            let deadline = self.driver.moment(begun + deadline.unwrap_or(class.deadline));
+            let (call, mut orders) = self.driver.enter(number as u16, set, item.volume, deadline);
+            let mut waiting = Waiting { driver: &self.driver, call, ended: false };
+            let mut served = Bytes::new();
+            let verdict = loop {
+                match orders.recv().await {
+                    Some(Order::Send(mut sending)) => {
+                        let left = self.driver.now().until(deadline);
+                        if left.is_zero() {
+                            // Guards against a try that goes out late because this process stood still.
+                            self.driver.ended(sending, NOT_BEGUN, true);
+                            continue;
+                        }
+                        parcel.extras = Extras { hosts: sending.hosts as f64, ..extras }.write();
+                        let wire = sending.link.wire();
+                        let exchange = self.exchange(&mut sending, &parcel, left);
+                        tokio::select! {
+                            biased;
+                            (end, body, kept) = exchange => {
+                                tracing::debug!(?end, kept, "try ended");
+                                served = body;
+                                self.driver.ended(sending, end, kept);
+                            }
+                            // While a try is out, nothing but the end is ordered.
+                            order = orders.recv() => {
+                                let Some(Order::Done(verdict)) = order else { break NEVER };
+                                let silent = verdict == Verdict::MayHaveRun(Doubt::Silent);
+                                // What was not written whole by then never will be: its connection ends here.
+                                break if silent && !class.safe && wire.unfinished() {
+                                    Verdict::NeverRan(Proof::Unfinished)
+                                } else {
+                                    verdict
+                                };
+                            }
+                        }
+                    }
+                    Some(Order::Done(verdict)) => break verdict,
+                    None => break NEVER,
+                }
+            };
+            waiting.ended = true;
+            tracing::debug!(?verdict, elapsed = ?begun.elapsed(), "call ended");
+            match verdict {
+                Verdict::Served => Outcome::Served(served),
+                Verdict::Refused { retry_after, why } => Outcome::Refused(Refused { retry_after, why }),
+                Verdict::MayHaveRun(doubt) => Outcome::Failed(Failure::MayHaveRun(doubt)),
+                Verdict::NeverRan(proof) => Outcome::Failed(Failure::NeverRan(proof)),
+            }
+        };
+        Ok(life.instrument(span).await)
+    }
+
+    /// One try.
+    async fn exchange(
+        &self,
+        sending: &mut Sending,
+        parcel: &Parcel,
+        left: Duration,
+    ) -> (crate::decide::again::End, Bytes, bool) {
+        let id = format!("{:016x}", self.next_id());
+        tracing::debug!(id, address = %sending.address, marked = sending.marked, ?left, "try");
+        let way = self.checked.answer_way.min(left / 4);
+        let id = HeaderValue::try_from(id).expect("hex digits");
+        match encode(parcel, sending.address, id, left - way, sending.marked) {
+            Ok(request) => sending.link.exchange(request, self.checked.most_answer).await,
+            // Every part was checked when the call was made.
+            Err(error) => {
+                tracing::error!(%error, "request");
+                (NOT_BEGUN, Bytes::new(), true)
+            }
+        }
+    }
+}
+
+/// The engine ends every call that it was told of; were its word to fail, nobody could know what ran.
+const NEVER: Verdict = Verdict::MayHaveRun(Doubt::Silent);
--- /dev/null
+++ b/client/src/decide/volumes.rs
@@ -0,0 +1,202 @@
+//! What the client knows of each volume: until when its calls are held back after a refusal, which schedulers
+//! carry it, and whose turn it is. Bounded: beyond `MOST` volumes, those are forgotten that are not held and
+//! were not asked for longest; a forgotten one starts anew, with the same schedulers.
+
+use super::Moment;
+use std::collections::HashMap;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// Volumes that are known at once; some 100 bytes each.
+const MOST: usize = 8192;
+
+/// One volume.
+#[derive(Clone, Debug)]
+pub struct Volume {
+    /// Calls of it wait until then.
+    pub held_until: Moment,
+    /// The set's schedulers, most fitting first, as the list stood at `version`.
+    ranked: Vec<u32>,
+    version: u64,
+    turn: usize,
+    asked: Moment,
+}
+
+/// All volumes that are known.
+#[derive(Debug, Default)]
+pub struct Volumes(HashMap<u64, Volume>);
+
+/// Mixes 64 bits (splitmix64's finalizer); the order of schedulers must come out alike in every client.
+fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
+
+/// A hash of an address that comes out alike in every build of this library.
+pub fn address_hash(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u128::from(ip.to_bits()),
+        IpAddr::V6(ip) => ip.to_bits(),
+    };
+    mix(mix((ip >> 64) as u64 ^ u64::from(address.port())) ^ ip as u64)
+}
+
+/// A scheduler as ranking sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Ranked {
+    /// Its number in the client.
+    pub number: u32,
+    /// A hash of its address, the same in every client.
+    pub hash: u64,
+}
+
+impl Volumes {
+    /// The volume, known from now on. `members` is its set at `version`.
+    pub fn volume(&mut self, now: Moment, id: u64, version: u64, members: &[Ranked]) -> &mut Volume {
+        if self.0.len() >= MOST && !self.0.contains_key(&id) {
+            self.forget(now);
+        }
+        let volume = self.0.entry(id).or_insert_with(|| Volume {
+            held_until: Moment::default(),
+            ranked: Vec::new(),
+            version: u64::MAX,
+            turn: mix(id) as usize,
+            asked: now,
+        });
+        volume.asked = now;
+        if volume.version != version {
+            // Rendezvous hashing (Thaler and Ravishankar, 1998): every client ranks a set alike without a word
+            // between them, and a scheduler that comes or goes moves only its own part.
+            let mut ranked: Vec<_> = members.iter().map(|m| (mix(m.hash ^ mix(id)), m.number)).collect();
+            ranked.sort_unstable();
+            volume.ranked = ranked.into_iter().map(|(_, number)| number).collect();
+            volume.version = version;
+        }
+        volume
+    }
+
+    /// Holds a volume's calls back; a shorter hold never replaces a longer one.
+    pub fn hold(&mut self, id: u64, until: Moment) {
+        if let Some(volume) = self.0.get_mut(&id) {
+            volume.held_until = volume.held_until.max(until);
+        }
+    }
+
+    /// Until when a volume's calls are held, where they are.
+    pub fn held(&self, now: Moment, id: u64) -> Option<Moment> {
+        self.0.get(&id).map(|volume| volume.held_until).filter(|&until| until > now)
+    }
+
+    fn forget(&mut self, now: Moment) {
+        let mut asked: Vec<_> =
+            self.0.iter().map(|(&id, volume)| (volume.held_until > now, volume.asked, id)).collect();
+        asked.sort_unstable();
+        for (_, _, id) in &asked[..MOST / 8] {
+            self.0.remove(id);
+        }
+    }
+}
+
+impl Volume {
+    /// Which scheduler carries the volume's next request. `load` tells a scheduler's requests out and in line,
+    /// `None` where it takes nothing now.
+    ///
+    /// The first `spread` of the ranked schedulers that take work carry the volume in turns: a limit is split
+    /// evenly over the schedulers that a volume uses, so an even use is what loses none of it. A turn is passed
+    /// on where that scheduler has over twice the load of the least loaded, and `SLACK` more: it is slow, and
+    /// the limit's part is of no use behind it.
+    pub fn choose(
+        &mut self,
+        spread: usize,
+        avoid: Option<u32>,
+        load: impl Fn(u32) -> Option<usize>,
+    ) -> Option<u32> {
+        const SLACK: usize = 4;
+        let carrying: Vec<(u32, usize)> = self
+            .ranked
+            .iter()
+            .filter_map(|&number| Some((number, load(number)?)))
+            .take(spread.max(1))
+            .collect();
+        let others = carrying.iter().filter(|(number, _)| Some(*number) != avoid);
+        let least = others.clone().map(|(_, load)| *load).min();
+        // The one to avoid is taken where it is the only one.
+        let Some(least) = least else { return carrying.first().map(|(number, _)| *number) };
+        let fitting: Vec<u32> =
+            others.filter(|(_, load)| *load <= 2 * least + SLACK).map(|(number, _)| *number).collect();
+        self.turn = self.turn.wrapping_add(1);
+        Some(fitting[self.turn % fitting.len()])
+    }
+
+    /// The set's schedulers, most fitting first.
+    pub fn ranked(&self) -> &[u32] {
+        &self.ranked
+    }
+}
+
+/// How long a hold lasts: what was told, and never longer than the client's own bound. Guards against a word
+/// that would silence a volume for a day.
+pub fn hold(told: Duration, most: Duration) -> Duration {
+    told.min(most)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn members(numbers: impl IntoIterator<Item = u32>) -> Vec<Ranked> {
+        numbers.into_iter().map(|number| Ranked { number, hash: mix(u64::from(number) + 77) }).collect()
+    }
+
+    #[test]
+    fn turns_are_even_and_a_lost_scheduler_moves_only_its_own_part() {
+        let (all, fewer) = (members(0..5), members([0, 1, 2, 4]));
+        let mut volumes = Volumes::default();
+        let mut moved = 0;
+        for id in 0..500 {
+            let volume = volumes.volume(Moment(1), id, 1, &all);
+            let mut counts = [0; 5];
+            for _ in 0..20 {
+                counts[volume.choose(2, None, |_| Some(0)).unwrap() as usize] += 1;
+            }
+            let used: Vec<usize> = (0..5).filter(|&n| counts[n] > 0).collect();
+            assert_eq!((used.len(), counts[used[0]]), (2, 10), "{counts:?}");
+            let first = volume.ranked()[0];
+            let after = volumes.volume(Moment(1), id, 2, &fewer).ranked()[0];
+            assert!(first == 3 || first == after);
+            moved += u32::from(first == 3);
+        }
+        assert!((60..140).contains(&moved), "{moved} of 500 had it first");
+    }
+
+    #[test]
+    fn a_slow_scheduler_is_passed_over_and_the_avoided_one_taken_only_alone() {
+        let mut volumes = Volumes::default();
+        let volume = volumes.volume(Moment(1), 9, 1, &members(0..2));
+        let slow = volume.ranked()[0];
+        for _ in 0..10 {
+            let chosen = volume.choose(2, None, |n| Some(if n == slow { 20 } else { 3 }));
+            assert_ne!(chosen, Some(slow));
+            assert_ne!(volume.choose(2, Some(slow), |_| Some(0)), Some(slow));
+        }
+        assert_eq!(volume.choose(2, Some(slow), |n| (n == slow).then_some(0)), Some(slow));
+        assert_eq!(volume.choose(2, None, |_| None), None);
+    }
+
+    #[test]
+    fn volumes_are_bounded_and_the_held_stay() {
+        let mut volumes = Volumes::default();
+        let one = members(0..1);
+        volumes.volume(Moment(0), 0, 1, &one);
+        volumes.hold(0, Moment(1_000_000));
+        for id in 1..3 * MOST as u64 {
+            volumes.volume(Moment(id), id, 1, &one);
+            assert!(volumes.0.len() <= MOST);
+        }
+        assert_eq!(volumes.held(Moment(30_000), 0), Some(Moment(1_000_000)));
+        assert_eq!(volumes.held(Moment(1_000_000), 0), None);
+        volumes.hold(0, Moment(5));
+        assert_eq!(volumes.held(Moment(30_000), 0), Some(Moment(1_000_000)), "never shortened");
+    }
+}
--- /dev/null
+++ b/client/src/observe.rs
@@ -0,0 +1,99 @@
+//! What an embedding program may watch: every try, every end, every scheduler that goes and comes back.
+
+use crate::decide::again::Doubt;
+use crate::decide::engine::{NoFurther, Note, Verdict};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// One thing that happened.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[non_exhaustive]
+pub enum Observed {
+    /// A call came in.
+    Called,
+    /// A try went out; `marked` where it is a retry.
+    Sent {
+        /// Whether it carries `X-Repeat: 1`.
+        marked: bool,
+    },
+    /// A call ended.
+    Ended(Verdict),
+    /// The program stopped waiting for a call.
+    Dropped,
+    /// A connection is being opened.
+    Connecting,
+    /// A connection came up.
+    Connected,
+    /// A scheduler went, came back, or lost a connection.
+    Scheduler(Note),
+}
+
+/// Told of everything that happens, at once and on the task where it does; it must not wait. It may call the
+/// client.
+pub trait Observer: Send + Sync {
+    /// Something happened.
+    fn observed(&self, what: &Observed);
+}
+
+impl Observer for () {
+    fn observed(&self, _: &Observed) {}
+}
+
+/// Counts of what happened, for programs that have no metrics of their own.
+#[derive(Debug, Default)]
+pub struct Counts {
+    /// Calls that came in.
+    pub calls: AtomicU64,
+    /// Tries that went out, retries among them.
+    pub tries: AtomicU64,
+    /// Marked retries.
+    pub retries: AtomicU64,
+    /// Calls that were served.
+    pub served: AtomicU64,
+    /// Calls that were refused, for whatever reason.
+    pub refused: AtomicU64,
+    /// Calls that were refused because the budget of retries was spent.
+    pub over_budget: AtomicU64,
+    /// Calls that failed and may have run.
+    pub may_have_run: AtomicU64,
+    /// Among them, those that were never answered.
+    pub silent: AtomicU64,
+    /// Calls that failed and never ran.
+    pub never_ran: AtomicU64,
+    /// Calls that the program stopped waiting for.
+    pub dropped: AtomicU64,
+    /// Connections that were begun.
+    pub connecting: AtomicU64,
+    /// Connections that came up.
+    pub connected: AtomicU64,
+    /// Connections that were lost unannounced.
+    pub lost: AtomicU64,
+    /// Times that a scheduler was set aside.
+    pub set_aside: AtomicU64,
+}
+
+impl Observer for Counts {
+    fn observed(&self, what: &Observed) {
+        let counters: &[&AtomicU64] = match what {
+            Observed::Called => &[&self.calls],
+            Observed::Sent { marked: true } => &[&self.tries, &self.retries],
+            Observed::Sent { marked: false } => &[&self.tries],
+            Observed::Ended(Verdict::Served) => &[&self.served],
+            Observed::Ended(Verdict::Refused { why: NoFurther::BudgetSpent, .. }) => {
+                &[&self.refused, &self.over_budget]
+            }
+            Observed::Ended(Verdict::Refused { .. }) => &[&self.refused],
+            Observed::Ended(Verdict::MayHaveRun(Doubt::Silent)) => &[&self.may_have_run, &self.silent],
+            Observed::Ended(Verdict::MayHaveRun(_)) => &[&self.may_have_run],
+            Observed::Ended(Verdict::NeverRan(_)) => &[&self.never_ran],
+            Observed::Dropped => &[&self.dropped],
+            Observed::Connecting => &[&self.connecting],
+            Observed::Connected => &[&self.connected],
+            Observed::Scheduler(Note::Lost { .. }) => &[&self.lost],
+            Observed::Scheduler(Note::Aside { .. }) => &[&self.set_aside],
+            Observed::Scheduler(Note::Back { .. }) => &[],
+        };
+        for counter in counters {
+            counter.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
--- /dev/null
+++ b/client/src/socket.rs
@@ -0,0 +1,143 @@
+//! A TCP connection whose other end's last word can still be asked for after hyper has let go of it.
+//!
+//! A close that crosses a request cannot be told from a scheduler that died with the request in hand by the end
+//! of the stream alone. The kernel knows: where the other side had closed before the request arrived, it sends
+//! its FIN and then, at our bytes, a RST; Linux notes a RST behind a FIN as `EPIPE`. Where the scheduler had
+//! read the request and ended, only the FIN comes. Where it ended with bytes unread, or its machine came back
+//! from the dead, a RST comes first, noted as `ECONNRESET`, which proves nothing.
+
+use std::io::{self, ErrorKind, IoSlice};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+
+/// A connection that several hold; it ends when the last of them lets go.
+#[derive(Clone)]
+pub(crate) struct Socket {
+    stream: Arc<TcpStream>,
+    received: Arc<AtomicU64>,
+}
+
+impl Socket {
+    pub(crate) async fn connect(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Socket { stream: Arc::new(stream), received: Arc::default() })
+    }
+
+    /// Bytes that have come since the start.
+    pub(crate) fn received(&self) -> u64 {
+        self.received.load(Ordering::Relaxed)
+    }
+
+    /// Whether the other side had closed before our last bytes arrived there. Asked once its end was seen;
+    /// waits no longer than `wait` for the word that says so.
+    pub(crate) async fn crossed(&self, wait: Duration) -> bool {
+        let _ = tokio::time::timeout(wait, self.stream.ready(Interest::ERROR)).await;
+        matches!(self.stream.take_error(), Ok(Some(error)) if error.kind() == ErrorKind::BrokenPipe)
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
+                Ok(read) => {
+                    buf.advance(read);
+                    self.received.fetch_add(read as u64, Ordering::Relaxed);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(bufs) {
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    /// Does nothing: a FIN of our own would have the kernel note the other side's RST as `ECONNRESET`. The
+    /// connection ends with its last holder.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    async fn pair() -> (Socket, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (near, far) = tokio::join!(Socket::connect(address), listener.accept());
+        (near.unwrap(), far.unwrap().0)
+    }
+
+    /// Guards against doubled writes: only a close that was under way before the request arrived proves that
+    /// nobody read it.
+    #[tokio::test]
+    async fn a_close_that_crossed_is_told_from_a_death_with_the_request_in_hand() {
+        let wait = Duration::from_secs(5);
+        // Closed first; the request then meets a closed socket.
+        let (mut near, far) = pair().await;
+        drop(far);
+        near.stream.ready(Interest::READABLE).await.unwrap();
+        near.write_all(b"PUT").await.unwrap();
+        assert_eq!(near.read(&mut [0; 9]).await.unwrap(), 0);
+        assert!(near.crossed(wait).await);
+        // Read whole, then closed without a word: no RST ever comes, so a short wait is as good as a long one.
+        let (mut near, mut far) = pair().await;
+        near.write_all(b"PUT").await.unwrap();
+        far.read_exact(&mut [0; 3]).await.unwrap();
+        drop(far);
+        assert_eq!(near.read(&mut [0; 9]).await.unwrap(), 0);
+        assert!(!near.crossed(Duration::from_millis(20)).await);
+        // Closed with bytes unread: a RST with no FIN before it, as from a machine that came back.
+        let (mut near, mut far) = pair().await;
+        near.write_all(b"PUT").await.unwrap();
+        far.read_exact(&mut [0; 2]).await.unwrap();
+        drop(far);
+        assert!(near.read(&mut [0; 9]).await.is_err());
+        assert!(!near.crossed(Duration::from_millis(20)).await);
+    }
+}
--- a/core/src/serve.rs
+++ b/core/src/serve.rs
@@ -118,6 +118,17 @@
     Failed,
 }
 
+impl<A> Answer<A> {
+    /// The outcome's name in logs, spans and counts.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
 impl Core {
     /// Serves one request. Dropping this future means that the client has left: attempts still out are given
     /// up, and the module is told.
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -2,12 +2,15 @@
 //! the operator's file. Each fault names its key.
 
 use crate::discovery::{List, ListError};
+use crate::http::FrontClass;
 use crate::nbd::{Export, ExportClass, NbdConfig};
-use crate::store::MOST_BODY;
+use crate::store::{MOST_BODY, StoreSettings};
 use crate::telemetry::OtlpConfig;
+use pointcross_net::platform::fits_path;
 use pointcross_settings::{Parsed, SettingsTextError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -105,6 +108,39 @@
     Known(#[from] ListError),
 }
 
+/// Everything that is wrong, a line each.
+#[derive(Debug, Default, thiserror::Error)]
+pub struct Faults(pub Vec<ConfigError>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (number, fault) in self.0.iter().enumerate() {
+            write!(f, "{}{fault}", if number > 0 { "\n" } else { "" })?;
+        }
+        Ok(())
+    }
+}
+
+impl From<ConfigError> for Faults {
+    fn from(fault: ConfigError) -> Self {
+        Faults(vec![fault])
+    }
+}
+
+impl Faults {
+    /// Notes what is wrong with a value and goes on without it.
+    fn keep<T>(&mut self, value: Result<T, impl Into<ConfigError>>) -> Option<T> {
+        value.map_err(|fault| self.0.push(fault.into())).ok()
+    }
+
+    /// Notes a fault where something does not hold.
+    fn want(&mut self, holds: bool, key: &str, text: impl ToString) {
+        if !holds {
+            self.0.push(bad(key, text));
+        }
+    }
+}
+
 fn bad(key: &str, text: impl ToString) -> ConfigError {
     ConfigError::Bad { key: key.to_owned(), text: text.to_string() }
 }
@@ -215,20 +251,24 @@
 }
 
 impl OperatorOtlp {
-    fn check(self) -> Result<OtlpConfig, ConfigError> {
-        let address = self.endpoint.parse::<http::Uri>().map_err(|error| bad("otlp.endpoint", error))?;
-        if address.scheme() != Some(&http::uri::Scheme::HTTP) || address.query().is_some() {
-            return Err(bad("otlp.endpoint", format!("{:?}: wanted http:// and an address", self.endpoint)));
+    fn check(self, faults: &mut Faults) -> Option<OtlpConfig> {
+        let before = faults.0.len();
+        match self.endpoint.parse::<http::Uri>() {
+            Err(error) => faults.want(false, "otlp.endpoint", error),
+            Ok(address) => faults.want(
+                address.scheme() == Some(&http::uri::Scheme::HTTP) && address.query().is_none(),
+                "otlp.endpoint",
+                format!("{:?}: wanted http:// and an address", self.endpoint),
+            ),
         }
-        let positive = [
+        for (key, value) in [
             ("otlp.most_spans", self.most_spans as u64),
             ("otlp.interval_ms", self.interval_ms),
             ("otlp.timeout_ms", self.timeout_ms),
-        ];
-        if let Some((key, _)) = positive.iter().find(|(_, value)| *value == 0) {
-            return Err(bad(key, "must be over 0"));
+        ] {
+            faults.want(value > 0, key, "must be over 0");
         }
-        Ok(OtlpConfig {
+        (faults.0.len() == before).then(|| OtlpConfig {
             endpoint: self.endpoint,
             service: self.service,
             most_spans: self.most_spans,
@@ -239,25 +279,23 @@
 }
 
 impl OperatorNbd {
-    fn check(self, parsed: &Parsed) -> Result<NbdConfig, ConfigError> {
-        if self.negotiation_ms == 0 {
-            return Err(bad("nbd.negotiation_ms", "no time at all"));
-        }
-        if self.most_sessions == 0 {
-            return Err(bad("nbd.most_sessions", "no session at all"));
-        }
-        if self.export.is_empty() {
-            return Err(bad("nbd.export", "none is named"));
-        }
+    fn check(self, parsed: &Parsed, faults: &mut Faults) -> Option<NbdConfig> {
+        let before = faults.0.len();
+        faults.want(self.negotiation_ms > 0, "nbd.negotiation_ms", "no time at all");
+        faults.want(self.most_sessions > 0, "nbd.most_sessions", "no session at all");
+        faults.want(!self.export.is_empty(), "nbd.export", "none is named");
+        let listen = faults.keep(address("nbd.listen", &self.listen));
+        let mut names: Vec<String> = Vec::new();
         let mut exports: Vec<Export> = Vec::new();
         for export in self.export {
-            if exports.iter().any(|other| other.name == export.name) {
-                return Err(bad("nbd.export.name", format!("{:?} stands twice", export.name)));
-            }
-            exports.push(export.check(parsed)?);
+            let known = names.contains(&export.name);
+            faults.want(!known, "nbd.export.name", format!("{:?} stands twice", export.name));
+            names.push(export.name.clone());
+            exports.extend(export.check(parsed, faults));
         }
-        Ok(NbdConfig {
-            listen: address("nbd.listen", &self.listen)?,
+        let whole = faults.0.len() == before;
+        listen.filter(|_| whole).map(|listen| NbdConfig {
+            listen,
             negotiation_time: Duration::from_millis(self.negotiation_ms),
             most_sessions: self.most_sessions,
             exports,
@@ -266,51 +304,47 @@
 }
 
 impl OperatorExport {
-    fn check(self, parsed: &Parsed) -> Result<Export, ConfigError> {
-        let fault =
-            |key: &str, text: String| bad(&format!("nbd.export.{key}"), format!("{:?}: {text}", self.name));
-        if self.name.len() > 255 {
-            return Err(fault("name", "over 255 bytes".into()));
-        }
-        let volume = u64::from_str_radix(&self.volume, 16).map_err(|e| fault("volume", e.to_string()))?;
+    fn check(self, parsed: &Parsed, faults: &mut Faults) -> Option<Export> {
+        let key = |key: &str| format!("nbd.export.{key}");
+        let text = |text: &str| format!("{:?}: {text}", self.name);
+        let fault = |name: &str, why: String| bad(&key(name), text(&why));
+        faults.want(self.name.len() <= 255, &key("name"), text("over 255 bytes"));
+        let volume = u64::from_str_radix(&self.volume, 16).map_err(|e| fault("volume", e.to_string()));
+        let volume = faults.keep(volume);
         let plan = parsed.plans.iter().position(|plan| *plan == self.plan);
-        let plan = plan.ok_or_else(|| fault("plan", format!("the settings know no {:?}", self.plan)))?;
+        let plan = plan.ok_or_else(|| fault("plan", format!("the settings know no {:?}", self.plan)));
+        let plan = faults.keep(plan);
         let class = |key: &str, name: &str, writes: bool| {
             let number = parsed.classes.iter().position(|class| class == name);
             let number = number.ok_or_else(|| fault(key, format!("the settings know no {name:?}")))?;
             let class = &parsed.decide.classes[number];
-            let path = name.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.~".contains(&byte));
-            if !path || class.writes != writes {
+            if !fits_path(name) || class.writes != writes {
                 return Err(fault(key, format!("{name:?} does not serve here")));
             }
             let deadline = Duration::try_from_secs_f64(class.deadline / 1000.0);
             let deadline = deadline.map_err(|e| fault(key, e.to_string()))?;
             Ok(ExportClass { number: number as u16, name: name.to_owned(), deadline })
         };
-        if !self.block_size.is_power_of_two() || !(512..=MOST_BODY as u32).contains(&self.block_size) {
-            return Err(fault("block_size", "not a power of two from 512 to 65536".into()));
-        }
-        if self.size == 0 || !self.size.is_multiple_of(u64::from(self.block_size)) {
-            return Err(fault("size", "not a whole number of blocks".into()));
-        }
-        if self.hosts == 0 {
-            return Err(fault("hosts", "none at all".into()));
-        }
-        if !(self.units > 0.0 && self.units <= parsed.decide.most_units.max(1.0)) {
-            return Err(fault("units", "not within the settings' largest request".into()));
-        }
-        let read = class("read_class", &self.read_class, false)?;
-        let write = self.write_class.as_deref().map(|name| class("write_class", name, true)).transpose()?;
-        Ok(Export {
-            volume,
-            plan: plan as u16,
+        let block = self.block_size.is_power_of_two() && (512..=MOST_BODY as u32).contains(&self.block_size);
+        faults.want(block, &key("block_size"), text("not a power of two from 512 to 65536"));
+        let whole = self.size > 0 && self.size.is_multiple_of(u64::from(self.block_size.max(1)));
+        faults.want(whole, &key("size"), text("not a whole number of blocks"));
+        faults.want(self.hosts > 0, &key("hosts"), text("none at all"));
+        let units = self.units > 0.0 && self.units <= parsed.decide.most_units.max(1.0);
+        faults.want(units, &key("units"), text("not within the settings' largest request"));
+        let read = faults.keep(class("read_class", &self.read_class, false));
+        let write = self.write_class.as_deref().map(|name| class("write_class", name, true)).transpose();
+        let write = faults.keep(write);
+        Some(Export {
+            volume: volume?,
+            plan: plan? as u16,
             hosts: self.hosts.into(),
             shard: self.shard,
             size: self.size,
             block: self.block_size,
             units: self.units,
-            read,
-            write,
+            read: read?,
+            write: write?,
             name: self.name,
         })
     }
@@ -318,16 +352,16 @@
 
 impl Config {
     /// Reads the configuration of this process.
-    pub fn from_environment() -> Result<Self, ConfigError> {
+    pub fn from_environment() -> Result<Self, Faults> {
         Config::from_variables(|key| std::env::var(key).ok())
     }
 
     /// Reads the configuration that these variables point to. A variable wins over the same key in the file.
-    pub fn from_variables(variable: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+    pub fn from_variables(variable: impl Fn(&str) -> Option<String>) -> Result<Self, Faults> {
         Config::read(variable, Wins::Variable)
     }
 
-    fn read(variable: impl Fn(&str) -> Option<String>, wins: Wins) -> Result<Self, ConfigError> {
+    fn read(variable: impl Fn(&str) -> Option<String>, wins: Wins) -> Result<Self, Faults> {
         let path = variable("RELAY_CONFIG").ok_or(ConfigError::Missing("RELAY_CONFIG"))?;
         let platform = read("RELAY_CONFIG", path)?;
         let operator = match variable(OPERATOR_FILE) {
@@ -339,7 +373,7 @@
 
     /// Reads the configuration of this process again. Its environment cannot have changed since the start, so
     /// what a file states now wins over the variable of the same key.
-    pub fn again() -> Result<Self, ConfigError> {
+    pub fn again() -> Result<Self, Faults> {
         Config::read(|key| std::env::var(key).ok(), Wins::File)
     }
 
@@ -362,44 +396,79 @@
         platform: &str,
         operator: &str,
         wins: Wins,
-    ) -> Result<Self, ConfigError> {
+    ) -> Result<Self, Faults> {
+        let mut faults = Faults::default();
         let file: Platform = serde_json::from_str(platform)
             .map_err(|error| bad("RELAY_CONFIG", format!("not its JSON: {error}")))?;
-        let settings = file.settings.ok_or(ConfigError::Missing("settings"))?;
-        let parsed = pointcross_settings::parse(settings.get().as_bytes())?;
-        let known = match file.known {
-            Some(known) => List::parse(known.get().as_bytes(), &parsed.zones)?,
-            None => List::default(),
+        let settings = file.settings.ok_or(ConfigError::Missing("settings"));
+        let parsed = faults
+            .keep(settings)
+            .and_then(|settings| faults.keep(pointcross_settings::parse(settings.get().as_bytes())));
+        let known = match (file.known, &parsed) {
+            (Some(known), Some(parsed)) => {
+                faults.keep(List::parse(known.get().as_bytes(), &parsed.zones)).unwrap_or_default()
+            }
+            _ => List::default(),
         };
         let stated = |key, in_file: Option<String>| match wins {
             Wins::Variable => variable(key).or(in_file),
             Wins::File => in_file.or_else(|| variable(key)),
         };
-        let required = |key, in_file| stated(key, in_file).ok_or(ConfigError::Missing(key));
-        let listen = required("RELAY_LISTEN", file.listen)?;
-        let discovery = required("RELAY_DISCOVERY", file.discovery)?;
+        let mut required = |key, in_file| {
+            let text = stated(key, in_file).ok_or(ConfigError::Missing(key));
+            faults.keep(text.and_then(|text| address(key, &text)))
+        };
+        let listen = required("RELAY_LISTEN", file.listen);
+        let discovery = required("RELAY_DISCOVERY", file.discovery);
         let seed = match file.seed {
             Some(seed) => {
-                u64::from_str_radix(&seed, 16).map_err(|e| bad("seed", format!("{seed:?}: {e}")))?
+                faults.keep(u64::from_str_radix(&seed, 16).map_err(|e| bad("seed", format!("{seed:?}: {e}"))))
             }
-            None => u64::from(std::process::id()),
+            None => Some(u64::from(std::process::id())),
+        };
+        let operator: Option<Operator> =
+            faults.keep(toml::from_str(operator).map_err(|error| bad(OPERATOR_FILE, error)));
+        let (nbd, otlp) = operator.map_or((None, None), |operator| (operator.nbd, operator.otlp));
+        let otlp = otlp.and_then(|otlp| otlp.check(&mut faults));
+        let nbd = match (nbd, &parsed) {
+            (Some(nbd), Some(parsed)) => nbd.check(parsed, &mut faults),
+            _ => None,
         };
-        let operator: Operator = toml::from_str(operator).map_err(|error| bad(OPERATOR_FILE, error))?;
-        let otlp = operator.otlp.map(OperatorOtlp::check).transpose()?;
-        let nbd = operator.nbd.map(|nbd| nbd.check(&parsed)).transpose()?;
         let nbd_sockets = nbd.as_ref().map_or(0, |nbd| nbd.most_sessions);
         let budget = Budget::of(&file.limits, nbd_sockets);
-        Ok(Config {
-            name: stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned()),
-            listen: address("RELAY_LISTEN", &listen)?,
-            discovery: address("RELAY_DISCOVERY", &discovery)?,
-            seed,
-            parsed,
-            known,
-            budget,
-            nbd,
-            otlp,
-        })
+        match (listen, discovery, seed, parsed) {
+            (Some(listen), Some(discovery), Some(seed), Some(parsed)) if faults.0.is_empty() => Ok(Config {
+                name: stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned()),
+                listen,
+                discovery,
+                seed,
+                parsed,
+                known,
+                budget,
+                nbd,
+                otlp,
+            }),
+            _ => Err(faults),
+        }
+    }
+
+    /// What the client for the nodes goes by.
+    pub(crate) fn store_settings(&self) -> StoreSettings {
+        let decide = &self.parsed.decide;
+        StoreSettings {
+            connections: self.budget.nodes,
+            answer_bytes: self.budget.answer_bytes,
+            connect_time: decide.connect_time,
+            keepalive: self.parsed.keepalive,
+            aims: decide.classes.iter().map(|class| class.aim).collect(),
+            report_names: decide.report_names.clone(),
+        }
+    }
+
+    /// The classes as the HTTP front knows them, by number.
+    pub(crate) fn front_classes(&self) -> Vec<FrontClass> {
+        let classes = self.parsed.classes.iter().zip(&self.parsed.decide.classes);
+        classes.map(|(name, class)| FrontClass { name: name.clone(), writes: class.writes }).collect()
     }
 }
 
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -1,6 +1,5 @@
 //! Discovery's list: the known one, then a watch on its changes, kept alive.
 
-use crate::config::Config;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
@@ -134,12 +133,12 @@
 }
 
 impl Caller {
-    fn new(config: &Config, address: SocketAddr) -> Self {
+    fn new(zones: &[String], address: SocketAddr) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(PATIENCE));
         let client = Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
-        Caller { client, address, zones: config.parsed.zones.clone() }
+        Caller { client, address, zones: zones.to_vec() }
     }
 
     /// Asks for what is newer than a version, or for the whole list, which is told without waiting.
@@ -173,16 +172,18 @@
 /// a failure is the module's decision: it is told, and asks again.
 ///
 /// When `place` changes, the new address is asked for the whole list (its versions may be others), and the
-/// watch at the old one goes on until that list has come. What the module knows of nodes stays.
+/// watch at the old one goes on until that list has come. What the module knows of nodes stays. `zones` are the
+/// zones' names by number, `known` the list that the core was told at its start.
 pub async fn follow(
     core: &Core,
-    config: &Config,
+    zones: &[String],
+    known: &List,
     orders: &mut watch::Receiver<bool>,
     place: &mut watch::Receiver<SocketAddr>,
 ) {
-    let mut caller = Caller::new(config, *place.borrow_and_update());
+    let mut caller = Caller::new(zones, *place.borrow_and_update());
     // A version to start from is had only where a whole list came with it.
-    let mut revision = config.known.complete.then_some(config.known.revision);
+    let mut revision = known.complete.then_some(known.revision);
     let mut watching: Option<Call> = None;
     let mut successor: Option<(Caller, Option<Call>)> = None;
     loop {
@@ -200,7 +201,7 @@
                 }
             }
             Ok(()) = place.changed() => {
-                let next = Caller::new(config, *place.borrow_and_update());
+                let next = Caller::new(zones, *place.borrow_and_update());
                 let call = Some(next.call(None));
                 successor = Some((next, call));
             }
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -1,11 +1,9 @@
 //! The platform's HTTP front: axum, kept thin. A request is decoded once, handed to the core, and answered.
 
-use crate::config::Config;
 use crate::seats::{Seat, Seats};
 use crate::shutdown::{Phase, Shutdown};
-use crate::store::{CORRELATION_ID, Call, Content, MOST_BODY, Store, TIME_LEFT};
+use crate::store::{Call, Content, MOST_BODY, Store};
 use crate::telemetry::Telemetry;
-use crate::written::Watched;
 use axum::body::{Body, HttpBody, to_bytes};
 use axum::extract::{Request, State};
 use axum::middleware::map_response_with_state;
@@ -19,16 +17,17 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use pointcross_core::{Answer, Core, NewRequest};
+use pointcross_net::platform::{
+    CLASS, CORRELATION_ID, EXTRAS, Extras, PLAN, READY_PATH, REPEAT, TIME_LEFT, read_hex, read_time,
+};
+use pointcross_net::watched::Watched;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
+use tracing::Instrument;
 
-const CLASS: HeaderName = HeaderName::from_static("x-service-class");
-const PLAN: HeaderName = HeaderName::from_static("tier");
-const EXTRAS: HeaderName = HeaderName::from_static("io-info");
-const REPEAT: HeaderName = HeaderName::from_static("x-repeat");
 /// A client that asks nothing more for this long loses its connection. Guards against clients that ask once and
 /// stay: they hold descriptors on both sides, and others then find none to ask with.
 const IDLE: Duration = Duration::from_secs(2);
@@ -43,15 +42,19 @@
 pub struct Front {
     core: Arc<Core>,
     store: Arc<Store>,
-    classes: Vec<Class>,
+    classes: Vec<FrontClass>,
     plans: Vec<String>,
     telemetry: Telemetry,
     shutdown: Shutdown,
 }
 
-struct Class {
-    name: String,
-    writes: bool,
+/// A request class as the front knows it.
+#[derive(Clone, Debug)]
+pub struct FrontClass {
+    /// Its name.
+    pub name: String,
+    /// Whether its requests write.
+    pub writes: bool,
 }
 
 /// What is wrong with a request.
@@ -101,25 +104,16 @@
 }
 
 impl Front {
-    /// A front on this core.
+    /// A front on this core, for these classes and plans by number.
     pub fn new(
         core: Arc<Core>,
         store: Arc<Store>,
-        config: &Config,
+        classes: Vec<FrontClass>,
+        plans: Vec<String>,
         telemetry: Telemetry,
         shutdown: Shutdown,
     ) -> Self {
-        let classes = config.parsed.classes.iter().zip(&config.parsed.decide.classes);
-        Front {
-            core,
-            store,
-            classes: classes
-                .map(|(name, class)| Class { name: name.clone(), writes: class.writes })
-                .collect(),
-            plans: config.parsed.plans.clone(),
-            telemetry,
-            shutdown,
-        }
+        Front { core, store, classes, plans, telemetry, shutdown }
     }
 
     /// Decodes a request's head; its time runs from `now`.
@@ -191,12 +185,20 @@
         // Guards against an answer that the platform's kill cuts off.
         new.deadline = self.shutdown.answer_by().map_or(new.deadline, |by| new.deadline.min(by));
         // Two requests with one id would be taken for one that was sent twice.
-        let id = self.store.open(&head.headers[CORRELATION_ID]).ok_or(Malformed::Open)?;
+        let header = &head.headers[CORRELATION_ID];
+        let id = self.store.open(header).ok_or(Malformed::Open)?;
+        // Every line that is logged while the request is served carries its id.
+        let span = tracing::info_span!("request", id = header.to_str().unwrap_or_default());
         seat.asked();
         let path = head.uri.path_and_query().cloned().unwrap_or(PathAndQuery::from_static("/"));
         let note = self.telemetry.request("http", &new);
         let call = Call { method: head.method, path, id, body, note };
-        let answer = self.core.serve(&*self.store, &call, new).await;
+        let served = async {
+            let answer = self.core.serve(&*self.store, &call, new).await;
+            tracing::debug!(outcome = answer.name(), "request answered");
+            answer
+        };
+        let answer = served.instrument(span).await;
         call.note.answered(&answer);
         Ok(answer)
     }
@@ -217,47 +219,6 @@
     body.ok().and_then(Result::ok).ok_or(Malformed::Body)
 }
 
-struct Extras {
-    units: f64,
-    shard: Option<u32>,
-    hosts: f64,
-}
-
-impl Extras {
-    /// Reads `units=2,shard=5,hosts=3`; shard -1 is a new object's.
-    fn read(text: &str) -> Option<Extras> {
-        let value = |name: &str| {
-            let fields = text.split(',').filter_map(|field| field.split_once('='));
-            fields.map(|(key, value)| (key.trim(), value.trim())).find(|(key, _)| *key == name)
-        };
-        let units = value("units")?.1.parse().ok().filter(|units: &f64| units.is_finite() && *units > 0.0)?;
-        let shard: i64 = value("shard")?.1.parse().ok().filter(|&shard| shard >= -1)?;
-        let hosts =
-            value("hosts")?.1.parse().ok().filter(|hosts: &f64| hosts.is_finite() && *hosts >= 1.0)?;
-        let shard = if shard < 0 { None } else { Some(u32::try_from(shard).ok()?) };
-        Some(Extras { units, shard, hosts })
-    }
-}
-
-/// Reads a time such as `480m` (milliseconds) or `480000u` (microseconds).
-fn read_time(text: &str) -> Option<Duration> {
-    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
-    let per_second = match unit {
-        "m" => 1e3,
-        "u" => 1e6,
-        _ => return None,
-    };
-    // A century is more than any client waits, and still adds up with the clock.
-    let seconds = number.parse::<f64>().ok()? / per_second;
-    (0.0..3.2e9).contains(&seconds).then(|| Duration::from_secs_f64(seconds))
-}
-
-/// Reads 16 hex digits.
-fn read_hex(text: &str) -> Option<u64> {
-    let digits = text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
-}
-
 async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
     let ready = front.shutdown.phase() == Phase::Running && front.core.can_serve();
     if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
@@ -297,7 +258,7 @@
 
 /// The front's routes.
 fn router(front: Arc<Front>) -> Router {
-    let routes = Router::new().route("/-/ready", get(ready)).fallback(take);
+    let routes = Router::new().route(READY_PATH, get(ready)).fallback(take);
     routes.layer(map_response_with_state(front.clone(), close_when_told)).with_state(front)
 }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod shutdown;
 pub mod store;
 pub mod telemetry;
-mod written;
 
 use config::Config;
 use pointcross_core::Core;
@@ -67,7 +66,7 @@
             Some(nbd) => Some((nbd.clone(), listen("nbd.listen", nbd.listen).await?)),
         };
         let core = Arc::new(Core::new(config.parsed.decide.clone(), config.seed)?);
-        let store = Arc::new(store::Store::new(&config));
+        let store = Arc::new(store::Store::new(config.store_settings()));
         let telemetry = match &config.otlp {
             None => Telemetry::default(),
             Some(otlp) => Telemetry::start(otlp, &config.name, &config.parsed)?,
@@ -109,7 +108,8 @@
         let front = Arc::new(http::Front::new(
             core.clone(),
             store.clone(),
-            &config,
+            config.front_classes(),
+            config.parsed.plans.clone(),
             telemetry.clone(),
             shutdown.clone(),
         ));
@@ -121,7 +121,7 @@
         };
         tokio::select! {
             () = core.run_timers() => {}
-            () = discovery::follow(&core, &config, &mut follow, &mut place) => {}
+            () = discovery::follow(&core, &config.parsed.zones, &config.known, &mut follow, &mut place) => {}
             _ = async { tokio::join!(http::accept(http, front, config.budget.front), nbd) } => {}
         }
         telemetry.shutdown().await;
--- a/daemon/src/pool.rs
+++ b/daemon/src/pool.rs
@@ -1,11 +1,11 @@
 //! Connections to storage nodes. hyper-util's pool hands a connection on the moment an answer ends; here it is
 //! held back until nothing has come behind that answer, since what came would pass for the next one's.
 
-use crate::written::{Watched, Wire};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use pointcross_net::watched::{Watched, Wire};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -1,6 +1,6 @@
 //! A new configuration for a running program: told by SIGHUP, checked whole, then taken or left.
 
-use crate::config::{Config, ConfigError};
+use crate::config::{Config, Faults};
 use std::net::SocketAddr;
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
@@ -18,7 +18,7 @@
 
     /// Takes what may change while the program runs: where discovery answers. A faulty configuration changes
     /// nothing, and neither does one that is as before.
-    pub fn apply(&mut self, new: Result<Config, ConfigError>) {
+    pub fn apply(&mut self, new: Result<Config, Faults>) {
         let new = match new {
             Ok(new) => new,
             Err(error) => return tracing::error!(%error, "new configuration not taken, the old one holds"),
--- a/daemon/src/store.rs
+++ b/daemon/src/store.rs
@@ -1,6 +1,5 @@
 //! The storage nodes' side: one attempt is one HTTP request to one node.
 
-use crate::config::Config;
 use crate::pool::{Link, NoLink, Pool};
 use crate::telemetry::RequestNote;
 use bytes::{Bytes, BytesMut};
@@ -9,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use pointcross_core::{Attempt, End, Ended, Report, Transport};
+use pointcross_net::platform::{CORRELATION_ID, TIME_LEFT, UNPROCESSED, write_time};
 use std::collections::HashSet;
 use std::convert::Infallible;
 use std::pin::Pin;
@@ -25,14 +25,9 @@
 const MOST_ANSWER: usize = 2 << 20;
 /// A body is passed on in pieces of this size, so that what is buffered of it twice stays small.
 const PIECE: usize = 64 * 1024;
-/// A request's id, from its client to its node.
-pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 /// An answer that has begun goes on within the tightest aim, and within this: longer than a node stands still
 /// for, and short enough to ask again in time.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
-/// How long the sender will wait.
-pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
-const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 const ELSEWHERE: HeaderName = HeaderName::from_static("other-hosts");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
@@ -73,18 +68,34 @@
     open: Arc<Mutex<HashSet<HeaderValue>>>,
 }
 
+/// What the client for the nodes goes by.
+#[derive(Clone, Debug)]
+pub struct StoreSettings {
+    /// Connections at the most, in use or idle.
+    pub connections: usize,
+    /// Bytes of answers that are held at once.
+    pub answer_bytes: usize,
+    /// How long a connection may take to come up, in milliseconds; 0 for no bound.
+    pub connect_time: f64,
+    /// After how long a node closes an idle connection, in milliseconds; 0 for never.
+    pub keepalive: f64,
+    /// The classes' aims, in milliseconds.
+    pub aims: Vec<f64>,
+    /// The names in a load report, in their order.
+    pub report_names: Vec<String>,
+}
+
 impl Store {
-    /// A client within the configuration's limits; it holds no connection yet.
-    pub fn new(config: &Config) -> Self {
+    /// A client within these limits; it holds no connection yet.
+    pub fn new(settings: StoreSettings) -> Self {
         let time = |ms: f64| if ms > 0.0 { millis(ms) } else { Duration::MAX };
-        let decide = &config.parsed.decide;
         // A node closes idle connections at its keepalive; what is written to one from then on is lost.
-        let keep = time(config.parsed.keepalive * 0.8);
+        let keep = time(settings.keepalive * 0.8);
         Store {
-            pool: Pool::new(config.budget.nodes, time(decide.connect_time), keep),
-            report_names: config.parsed.decide.report_names.clone(),
-            pause: decide.classes.iter().map(|class| millis(class.aim)).fold(MOST_PAUSE, Duration::min),
-            memory: Arc::new(Semaphore::new(config.budget.answer_bytes)),
+            pool: Pool::new(settings.connections, time(settings.connect_time), keep),
+            pause: settings.aims.iter().map(|&aim| millis(aim)).fold(MOST_PAUSE, Duration::min),
+            memory: Arc::new(Semaphore::new(settings.answer_bytes)),
+            report_names: settings.report_names,
             open: Arc::default(),
         }
     }
@@ -253,7 +264,7 @@
     let digits = |text: String| HeaderValue::try_from(text).expect("digits and marks");
     headers.insert(header::HOST, digits(attempt.target.address.to_string()));
     headers.insert(CORRELATION_ID, call.id.id.clone());
-    headers.insert(TIME_LEFT, digits(format!("{}u", attempt.time_left.as_micros())));
+    headers.insert(TIME_LEFT, write_time(attempt.time_left));
     if call.method == Method::PUT && call.body.is_empty() {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from_static("0"));
     }
--- a/daemon/src/telemetry.rs
+++ b/daemon/src/telemetry.rs
@@ -183,11 +183,7 @@
     /// Ends the note with the request's final answer.
     pub fn answered<A>(mut self, answer: &Answer<A>) {
         let Some(noted) = &mut self.0 else { return };
-        noted.outcome = match answer {
-            Answer::Served(_) => "served",
-            Answer::Refused { .. } => "refused",
-            Answer::Failed => "failed",
-        };
+        noted.outcome = answer.name();
         if let Answer::Refused { retry_after } = answer {
             let seconds = KeyValue::new("pointcross.retry_after", retry_after.as_secs_f64());
             noted.context.span().set_attribute(seconds);
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -1,9 +1,7 @@
 //! Faults in the configuration name their key.
 
-mod common;
-
-use common::{SETTINGS, operator};
 use pointcross::config::{Config, Wins};
+use pointcross_rig::{SETTINGS, operator};
 
 fn platform() -> String {
     format!(
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -1,8 +1,6 @@
 //! The list: watched, lost, found again.
 
-mod common;
-
-use common::*;
+use pointcross_rig::*;
 use std::sync::{Arc, Mutex};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -75,7 +73,7 @@
     until(|| core.can_serve()).await;
 
     // A faulty file changes nothing.
-    reload.apply(Err(pointcross::config::ConfigError::Missing("settings")));
+    reload.apply(Err(pointcross::config::ConfigError::Missing("settings").into()));
     reload.apply(Ok(config(store, new_place, "")));
     until(|| calls.lock().unwrap().len() == 1).await;
     assert_eq!(calls.lock().unwrap()[0], "/api/targets");
--- a/daemon/tests/nbd.rs
+++ b/daemon/tests/nbd.rs
@@ -1,8 +1,6 @@
 //! NBD on loopback: the whole path, writes at most once, disconnects, one account with HTTP.
 
-mod common;
-
-use common::*;
+use pointcross_rig::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng};
 use std::net::SocketAddr;
--- a/daemon/tests/rpc.rs
+++ b/daemon/tests/rpc.rs
@@ -1,11 +1,9 @@
 //! The tower layer: a client service behind the same module, its rules kept.
 
-mod common;
-
-use common::SETTINGS;
 use pointcross::rpc::{CallError, Directed, PointcrossLayer, Protocol};
 use pointcross_core::decide::{ListKind, NodeState};
 use pointcross_core::{Core, End, Ended, Member, NewRequest};
+use pointcross_rig::SETTINGS;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
--- a/daemon/tests/store.rs
+++ b/daemon/tests/store.rs
@@ -1,8 +1,6 @@
 //! Node connections against a model: whatever a node sends, a client gets its own answer or an error.
 
-mod common;
-
-use common::*;
+use pointcross_rig::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
 
--- a/daemon/tests/telemetry.rs
+++ b/daemon/tests/telemetry.rs
@@ -1,13 +1,11 @@
 //! OTLP against a stand-in collector: what it is sent, and that nothing waits for it.
 
-mod common;
-
-use common::*;
 use opentelemetry_proto::tonic::collector::metrics::v1::ExportMetricsServiceRequest;
 use opentelemetry_proto::tonic::collector::trace::v1::ExportTraceServiceRequest;
 use opentelemetry_proto::tonic::common::v1::{KeyValue, any_value::Value};
 use opentelemetry_proto::tonic::metrics::v1::metric::Data;
 use opentelemetry_proto::tonic::trace::v1::Span;
+use pointcross_rig::*;
 use prost::Message as _;
 use std::sync::Arc;
 use std::time::Duration;
--- a/daemon/src/written.rs
+++ b/net/src/watched.rs
@@ -12,7 +12,7 @@
 
 /// What is known of a connection's traffic.
 #[derive(Debug, Default)]
-pub(crate) struct Wire {
+pub struct Wire {
     unfinished: AtomicBool,
     heard: Notify,
 }
@@ -21,30 +21,30 @@
     /// Whether something is written in part: set from the first write on until the last byte of what hyper
     /// holds has been written. hyper flushes a connection only when its own buffer is empty, and a request of
     /// at most 64 KiB goes through it in one piece.
-    pub(crate) fn unfinished(&self) -> bool {
+    pub fn unfinished(&self) -> bool {
         self.unfinished.load(Ordering::Relaxed)
     }
 
     /// Ends when something has come since this was last awaited or what came was forgotten.
-    pub(crate) async fn heard(&self) {
+    pub async fn heard(&self) {
         self.heard.notified().await;
     }
 
     /// Forgets what came before: the last answer's bytes are no part of the next.
-    pub(crate) fn forget_heard(&self) {
+    pub fn forget_heard(&self) {
         let _ = self.heard().now_or_never();
     }
 }
 
 /// A connection that is watched.
-pub(crate) struct Watched<T> {
+pub struct Watched<T> {
     io: T,
     wire: Arc<Wire>,
 }
 
 impl<T> Watched<T> {
     /// Watches this connection; what is known of it can be asked elsewhere.
-    pub(crate) fn new(io: T) -> (Self, Arc<Wire>) {
+    pub fn new(io: T) -> (Self, Arc<Wire>) {
         let wire = Arc::new(Wire::default());
         (Watched { io, wire: wire.clone() }, wire)
     }
--- a/daemon/tests/common/mod.rs
+++ b/rig/src/lib.rs
@@ -1,5 +1,5 @@
 //! Stand-ins for what surrounds the program: storage nodes, discovery and clients, on loopback sockets.
-#![allow(dead_code, reason = "each test file uses its part")]
+#![warn(missing_docs)]
 
 use pointcross::config::{Config, Wins};
 use pointcross::{Daemon, shutdown::Shutdown};
@@ -15,8 +15,11 @@
 /// One HTTP message, either way.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
+    /// The first line.
     pub first: String,
+    /// Headers, their names in lower case.
     pub headers: HashMap<String, String>,
+    /// The body.
     pub body: Vec<u8>,
 }
 
@@ -26,6 +29,7 @@
         self.first.split(' ').nth(1).unwrap().parse().unwrap()
     }
 
+    /// The path of a request.
     pub fn path(&self) -> &str {
         self.first.split(' ').nth(1).unwrap()
     }
@@ -54,6 +58,7 @@
 /// What a stand-in does with a request it has read.
 #[derive(Clone, Debug)]
 pub enum Deed {
+    /// Answers with this status and body.
     Answer(&'static str, Vec<u8>),
     /// Takes it and says nothing until the client has gone.
     Silence,
@@ -65,6 +70,7 @@
     Raw(Vec<Vec<u8>>),
 }
 
+/// A served answer.
 pub fn ok(body: impl Into<Vec<u8>>) -> Deed {
     Deed::Answer("200 OK", body.into())
 }
@@ -120,10 +126,12 @@
 pub struct Seen(Arc<Mutex<Vec<(Instant, Message)>>>);
 
 impl Seen {
+    /// Notes a request.
     pub fn note(&self, message: &Message) {
         self.0.lock().unwrap().push((Instant::now(), message.clone()));
     }
 
+    /// All that were noted.
     pub fn all(&self) -> Vec<(Instant, Message)> {
         self.0.lock().unwrap().clone()
     }
@@ -147,13 +155,17 @@
 
 /// A program on loopback, with its one storage node and a discovery that lists it.
 pub struct Running {
+    /// Where HTTP clients connect.
     pub http: SocketAddr,
+    /// Where NBD clients connect.
     pub nbd: Option<SocketAddr>,
+    /// Its core.
     pub core: Arc<pointcross_core::Core>,
     stop: Option<oneshot::Sender<()>>,
     task: JoinHandle<()>,
 }
 
+/// Settings of the platform with one store and generous times.
 pub const SETTINGS: &str = r#"{"me":0,"instances":1,"resolution":2.0,"discovery":"on_request",
  "classes":[{"name":"reading-get","aim":2000,"give_up":8000,"importance":2,"repeat":"safe","group":"all"},
   {"name":"reading-put","aim":2000,"give_up":8000,"importance":2,"repeat":"unsafe","group":"all"}],
@@ -173,10 +185,12 @@
     )
 }
 
+/// Discovery's entry of a store.
 pub fn list_entry(store: SocketAddr) -> String {
     format!(r#"{{"id":"s-1","host_port":"{store}","locality":"a","cell":1,"phase":"up","up_since_ms":0}}"#)
 }
 
+/// The configuration of a program before this store.
 pub fn config(store: SocketAddr, discovery: SocketAddr, operator: &str) -> Config {
     let entry = list_entry(store);
     let platform = format!(
@@ -194,6 +208,7 @@
         Running::with(config(store, discovery, operator)).await
     }
 
+    /// Starts the program with this configuration.
     pub async fn with(config: Config) -> Running {
         let (stop, told) = oneshot::channel();
         let daemon = Daemon::bind(config).await.unwrap();
@@ -239,6 +254,7 @@
     [head.as_bytes(), body].concat()
 }
 
+/// Connects as a client.
 pub async fn connect(address: SocketAddr) -> BufReader<TcpStream> {
     BufReader::new(TcpStream::connect(address).await.unwrap())
 }
@@ -274,6 +290,7 @@
     }
 }
 
+/// What a stand-in discovery answers with.
 pub type ListAnswer = std::pin::Pin<Box<dyn Future<Output = Deed> + Send>>;
 
 /// A store that keeps what is put; a block never put holds the last byte of its path.
