Add experiments, reports and a load tool to the laboratory

Need: a change's effect must be told from chance, seen at a glance, and measured on the real program; the reading of the pool's rest behind answers had only an outside probe for it.

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -1,9 +1,13 @@
 //! The laboratory's sub-commands.
 
 use clap::{Args, Subcommand};
+use pointcross_lab::experiment::{bisect, experiment, variant};
+use pointcross_lab::load::{Load, Measured, Scheduler, instant_nodes, load};
+use pointcross_lab::report::html;
 use pointcross_lab::script::Script;
 use pointcross_lab::virtual_time::{Outcome, play};
 use serde_json::json;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -18,6 +22,12 @@
         #[arg(required = true)]
         scripts: Vec<PathBuf>,
     },
+    /// Play a script and a variant of it over the same seeds; says better, worse or undecided
+    Compare(Compare),
+    /// Find the largest load that keeps an objective
+    BisectSize(BisectSize),
+    /// Put load on a scheduler, or on one of its own before nodes that answer at once
+    Load(LoadTool),
 }
 
 #[derive(Args)]
@@ -33,18 +43,95 @@
     /// One line of JSON
     #[arg(long)]
     json: bool,
+    /// Write a report, one HTML page, to this file
+    #[arg(long)]
+    report: Option<PathBuf>,
+}
+
+#[derive(Args)]
+pub struct Compare {
+    /// The script (TOML)
+    script: PathBuf,
+    /// What the variant sets anew, such as `site.load=0.8`; may be given several times
+    #[arg(long = "set", required = true)]
+    changes: Vec<String>,
+    /// How many seeds, from 1 on
+    #[arg(long, default_value_t = 20)]
+    seeds: u64,
+    /// Size of both
+    #[arg(long, default_value_t = 1)]
+    size: u32,
+    /// One line of JSON
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Args)]
+pub struct BisectSize {
+    /// The script (TOML)
+    script: PathBuf,
+    /// The part of the worth that must be served, in the mean over the seeds
+    #[arg(long, default_value_t = 0.9)]
+    objective: f64,
+    /// How many seeds, from 1 on
+    #[arg(long, default_value_t = 8)]
+    seeds: u64,
+    /// The largest load that is tried, as a part of the capacity
+    #[arg(long, default_value_t = 2.0)]
+    most: f64,
+    /// Halvings
+    #[arg(long, default_value_t = 7)]
+    halvings: u32,
+    /// One line of JSON
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Args)]
+pub struct LoadTool {
+    /// The scheduler; one is started, before nodes that answer at once, where this is left out
+    #[arg(long)]
+    address: Option<SocketAddr>,
+    /// Connections, one measurement each
+    #[arg(long, value_delimiter = ',', default_value = "1,2,8,64,256")]
+    connections: Vec<usize>,
+    /// Requests a second over all connections; as fast as they are answered where left out
+    #[arg(long)]
+    rate: Option<f64>,
+    /// Seconds of each measurement
+    #[arg(long, default_value_t = 3.0)]
+    seconds: f64,
+    /// Nodes that are started, or shards that are asked for
+    #[arg(long, default_value_t = 12)]
+    nodes: u32,
+    /// Descriptors of the scheduler that is started
+    #[arg(long, default_value_t = 1024)]
+    sockets: u32,
+    /// One line of JSON
+    #[arg(long)]
+    json: bool,
 }
 
 /// Exit codes: a rule was broken; something is wrong with what was given.
 const BROKEN: u8 = 1;
 const BAD: u8 = 2;
 
+fn text(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|error| format!("{}: cannot be read: {error}", path.display()))
+}
+
+fn named(path: &Path, faults: &impl ToString) -> String {
+    let lines: Vec<String> =
+        faults.to_string().lines().map(|line| format!("{}: {line}", path.display())).collect();
+    lines.join("\n")
+}
+
 fn read(path: &Path) -> Result<Script, String> {
-    let named = |text: String| {
-        text.lines().map(|line| format!("{}: {line}", path.display())).collect::<Vec<_>>().join("\n")
-    };
-    let text = std::fs::read_to_string(path).map_err(|error| named(format!("cannot be read: {error}")))?;
-    Script::parse(&text).map_err(|faults| named(faults.to_string()))
+    Script::parse(&text(path)?).map_err(|faults| named(path, &faults))
+}
+
+fn threads() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from)
 }
 
 impl Lab {
@@ -60,6 +147,9 @@
                     Err(faults.join("\n"))
                 }
             }
+            Lab::Compare(compare) => compare.run(),
+            Lab::BisectSize(bisect) => bisect.run(),
+            Lab::Load(load) => load.run(),
         };
         match ended {
             Ok(code) => ExitCode::from(code),
@@ -80,6 +170,10 @@
         let begun = Instant::now();
         let outcome = play(&script, self.seed, self.size);
         let seconds = begun.elapsed().as_secs_f64();
+        if let Some(file) = &self.report {
+            let page = html(&script, &outcome).map_err(|error| format!("--report: {error}"))?;
+            std::fs::write(file, page).map_err(|error| format!("--report: {}: {error}", file.display()))?;
+        }
         if self.json {
             let mut told = serde_json::to_value(&outcome).map_err(|error| error.to_string())?;
             // What the machine took is no part of what is replayed.
@@ -94,6 +188,97 @@
     }
 }
 
+impl Compare {
+    fn run(self) -> Result<u8, String> {
+        let text = text(&self.script)?;
+        let base = Script::parse(&text).map_err(|faults| named(&self.script, &faults))?;
+        let other = variant(&text, &self.changes).map_err(|faults| named(Path::new("--set"), &faults))?;
+        let seeds: Vec<u64> = (1..=self.seeds).collect();
+        let comparison = experiment(&base, &other, &seeds, self.size.max(1), threads());
+        if self.json {
+            println!("{}", serde_json::to_string(&comparison).map_err(|error| error.to_string())?);
+        } else {
+            println!("{}, {} seeds, with {}", base.name, seeds.len(), self.changes.join(" "));
+            println!("worth served       base  variant  difference  95% interval        verdict");
+            for (plan, c) in &comparison.served_worth_share {
+                let (low, high) = c.interval;
+                let verdict = format!("{:?}", c.verdict).to_lowercase();
+                println!(
+                    "{plan:<16} {:>6.3}   {:>6.3}     {:>+7.4}  {low:>+7.4} to {high:>+7.4}  {verdict}",
+                    c.base, c.variant, c.difference
+                );
+            }
+            println!("rules broken: {} and {}", comparison.rules_broken.0, comparison.rules_broken.1);
+        }
+        Ok(if comparison.rules_broken.1 > 0 { BROKEN } else { 0 })
+    }
+}
+
+impl BisectSize {
+    fn run(self) -> Result<u8, String> {
+        let script = read(&self.script)?;
+        let seeds: Vec<u64> = (1..=self.seeds).collect();
+        let found = bisect(&script, &seeds, self.objective, self.most, self.halvings, threads());
+        if self.json {
+            println!("{}", serde_json::to_string(&found).map_err(|error| error.to_string())?);
+        } else {
+            for (load, share) in &found.tried {
+                println!("load {load:.3}: worth served {share:.3}");
+            }
+            println!(
+                "keeps {} up to a load of {:.3}, not at {:.3}",
+                self.objective, found.load, found.fails_at
+            );
+        }
+        Ok(0)
+    }
+}
+
+impl LoadTool {
+    #[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+    async fn run(self) -> Result<u8, String> {
+        let mut rows: Vec<Measured> = Vec::new();
+        for &connections in &self.connections {
+            // Each measurement has a scheduler of its own: none starts with the connections of the last.
+            let scheduler = match self.address {
+                Some(_) => None,
+                None => {
+                    let nodes = instant_nodes(self.nodes).await.map_err(|error| error.to_string())?;
+                    let program = std::env::current_exe().map_err(|error| error.to_string())?;
+                    let started = Scheduler::start(&program, &nodes, self.sockets).await;
+                    Some(started.map_err(|error| error.to_string())?)
+                }
+            };
+            let address = self.address.or(scheduler.as_ref().map(|scheduler| scheduler.address));
+            let Some(address) = address else { return Err("--address: none".into()) };
+            let what = Load { connections, rate: self.rate, seconds: self.seconds, shards: self.nodes };
+            let before = scheduler.as_ref().and_then(Scheduler::cpu);
+            let mut measured = load(address, what).await;
+            let used = scheduler.as_ref().and_then(Scheduler::cpu).zip(before);
+            let answers = (measured.per_second * self.seconds).max(1.0);
+            measured.cpu_us = used.map(|(after, before)| (after - before).as_secs_f64() * 1e6 / answers);
+            rows.push(measured);
+        }
+        if self.json {
+            println!("{}", serde_json::to_string(&rows).map_err(|error| error.to_string())?);
+        } else {
+            println!("connections  answers/s  served   p50 ms   p99 ms  CPU us each  broken");
+            for row in &rows {
+                let cpu = row.cpu_us.map_or("-".to_owned(), |us| format!("{us:.0}"));
+                println!(
+                    "{:>11} {:>10.0} {:>6.1}% {:>8.2} {:>8.2} {cpu:>12} {:>7}",
+                    row.connections,
+                    row.per_second,
+                    row.served_share * 100.0,
+                    row.p50_ms,
+                    row.p99_ms,
+                    row.broken
+                );
+            }
+        }
+        Ok(0)
+    }
+}
 /// The most memory that this process held, in MiB, where the system tells.
 fn peak_mb() -> Option<f64> {
     let status = std::fs::read_to_string("/proc/self/status").ok()?;
--- a/lab/src/script.rs
+++ b/lab/src/script.rs
@@ -233,6 +233,14 @@
         if faults.is_empty() { Ok(script) } else { Err(ScriptFaults(faults)) }
     }
 
+    /// Reads and checks a script that is a table already.
+    pub fn from_table(table: toml::Table) -> Result<Self, ScriptFaults> {
+        let script = Script::deserialize(table)
+            .map_err(|error| ScriptFaults(vec![format!("script: {}", error.message())]))?;
+        let faults = script.faults();
+        if faults.is_empty() { Ok(script) } else { Err(ScriptFaults(faults)) }
+    }
+
     fn faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         let mut want = |holds: bool, key: &str, text: String| {
--- a/lab/src/virtual_time.rs
+++ b/lab/src/virtual_time.rs
@@ -392,7 +392,8 @@
     local.block_on(&runtime.expect("a runtime without I/O"), rehearse(script, seed, size))
 }
 
-fn settings(script: &Script, me: u32) -> String {
+/// The platform's settings, as JSON, that a script leads to for the scheduler of this number.
+pub fn settings(script: &Script, me: u32) -> String {
     let laws = script.laws();
     let classes: Vec<serde_json::Value> = script
         .class
