Listen with SO_REUSEPORT, so that a replacing process can start beside the old one

Change: the clients' and NBD listeners are bound through one function that sets SO_REUSEADDR and SO_REUSEPORT. Test: a_second_process_listens_where_the_first_still_does (fails without the option; it also checks a plain bind is refused, so it can tell).

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -27,7 +27,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use telemetry::Telemetry;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 
 /// Why the program could not start.
@@ -156,6 +156,40 @@
     }
 }
 
+/// Binds with SO_REUSEPORT and SO_REUSEADDR, so that a new process can listen at the same address while the old
+/// one still serves there; the kernel then deals new connections to both. Guards against the replacement's
+/// start failing with "address in use", which ended it at once.
+pub(crate) fn listen_shared(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    // As many as the system allows: during a replacement both processes' queues fill at once.
+    socket.listen(1024)
+}
+
 async fn listen(key: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
-    TcpListener::bind(address).await.map_err(|error| StartError::Listen { key, error })
+    listen_shared(address).map_err(|error| StartError::Listen { key, error })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a replacement that cannot start: the new process listens at the address where the old one
+    /// still serves, and both take connections there.
+    #[tokio::test]
+    async fn a_second_process_listens_where_the_first_still_does() {
+        let first = listen_shared("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = first.local_addr().unwrap();
+        let second = listen_shared(address).expect("a second listener at the same address");
+        assert_eq!(second.local_addr().unwrap(), address);
+        // Without the option the second bind is refused, so this test can tell.
+        let plain = TcpListener::bind(address).await;
+        assert!(plain.is_err(), "a listener without SO_REUSEPORT joined");
+        drop(first);
+        let connected = tokio::net::TcpStream::connect(address).await.unwrap();
+        let (accepted, _) = second.accept().await.unwrap();
+        assert_eq!(accepted.peer_addr().unwrap(), connected.local_addr().unwrap());
+    }
 }
