Open the operators' door: counters from the core, bans as drains, sending clients away

Change: - `ops` / $RELAY_OPS: a listener of its own (daemon/src/ops/), one call per connection, heads within 0.5 s, 32 at once; decide.rs reads calls and writes the counters with no I/O, a 4xx names what is wrong. - Counts in the core (core/src/counts.rs): final answers at the end of Core::serve, attempts at each attempt's end, so every front is counted. - A ban by hand is passed to the module as a drain, in every later list too; the call back passes the true entry started now (cold). Bans are written to $TMPDIR whole (temporary name, rename) and read back at the start. - Out of service: /-/ready says no; after 0.5 s answers close and idle kept connections are closed; in-service undoes it. The program never exits. - Fixed on the way: without a door the run's select ended at once (caught by the discovery tests).

Tests: ops::decide (calls, 4xx, counters' text), ops::bans (torn, foreign), core a_ban_holds_over_lists_until_it_is_lifted, daemon/tests/ops.rs (silent callers, counters against the stand-in node's count, out/in of service).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,13 +6,15 @@
 #![warn(missing_docs)]
 
 mod clock;
+mod counts;
 mod guard;
 mod nodes;
 mod serve;
 mod state;
 
+pub use counts::{ClassCounts, Counts, Final};
 pub use guard::{Admission, Guard};
-pub use nodes::{Member, Target};
+pub use nodes::{BanError, Member, Target};
 pub use pointcross_decide as decide;
 pub use serve::{Answer, Attempt, End, Ended, NewRequest, Report, Transport};
 pub use state::Core;
--- a/core/src/nodes.rs
+++ b/core/src/nodes.rs
@@ -39,11 +39,41 @@
     by_name: HashMap<String, NodeId>,
     targets: HashMap<NodeId, Target>,
     ready: HashSet<NodeId>,
+    /// Each listed member as the list last gave it, before any ban: what is passed on when the ban ends.
+    members: HashMap<String, Member>,
+    /// Names that the staff took out; they outlast the list, and a name that is gone keeps its ban.
+    banned: HashSet<String>,
+    /// Every name ever listed, so that a ban can be told from a typing error. Bounded by `MOST_SEEN`; at the
+    /// bound the oldest are not forgotten but new ones are no longer noted, so a ban on them is refused.
+    seen: HashSet<String>,
+}
+
+/// Names kept of nodes that were listed once: far more than a fleet's replacements over a day.
+const MOST_SEEN: usize = 65_536;
+
+/// Why a ban cannot be set or lifted.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BanError {
+    /// The id was never listed, nor banned before.
+    #[error("storage node {0:?} was never listed")]
+    Unknown(String),
 }
 
 impl Nodes {
     /// Notes where a member is reached and gives the entry that the module is told.
-    pub(crate) fn note(&mut self, member: Member) -> NodeEntry {
+    pub(crate) fn note(&mut self, mut member: Member) -> NodeEntry {
+        if member.state == NodeState::Gone {
+            self.members.remove(&member.name);
+        } else {
+            if self.seen.len() < MOST_SEEN {
+                self.seen.insert(member.name.clone());
+            }
+            self.members.insert(member.name.clone(), member.clone());
+        }
+        // A banned node is passed on as draining: the module stops sending to it as to any that drains.
+        if member.state == NodeState::Ready && self.banned.contains(&member.name) {
+            member.state = NodeState::Draining;
+        }
         let Member { name, address, zone, shard, state, started } = member;
         let node = match self.by_name.get(&name) {
             Some(&node) => node,
@@ -73,6 +103,7 @@
         let missing = self.by_name.iter().filter(|(name, _)| !listed.contains(name.as_str()));
         let missing: Vec<_> = missing.map(|(name, node)| (name.clone(), *node)).collect();
         for (name, node) in missing {
+            self.members.remove(&name);
             self.ready.remove(&node);
             self.forget(&name, node);
         }
@@ -84,6 +115,47 @@
         self.targets.remove(&node);
     }
 
+    /// Bans a node by its listed name; gives the entry the module must be told now, where it is listed.
+    pub(crate) fn ban(&mut self, name: &str) -> Result<Option<NodeEntry>, BanError> {
+        self.known(name)?;
+        self.banned.insert(name.to_owned());
+        Ok(self.members.get(name).cloned().map(|member| self.note(member)))
+    }
+
+    /// Lifts a ban; gives the true entry to pass on, with its start at `now`, since the node was restarted
+    /// while it was out and comes back cold.
+    pub(crate) fn unban(&mut self, name: &str, now: f64) -> Result<Option<NodeEntry>, BanError> {
+        self.known(name)?;
+        self.banned.remove(name);
+        let member = self.members.get(name).cloned();
+        Ok(member.map(|member| Member { started: member.started.max(now), ..member }).map(|m| self.note(m)))
+    }
+
+    fn known(&self, name: &str) -> Result<(), BanError> {
+        let known = self.seen.contains(name) || self.banned.contains(name);
+        if known { Ok(()) } else { Err(BanError::Unknown(name.to_owned())) }
+    }
+
+    /// Names banned now, in order.
+    pub(crate) fn banned(&self) -> Vec<String> {
+        let mut names: Vec<_> = self.banned.iter().cloned().collect();
+        names.sort();
+        names
+    }
+
+    /// Takes bans read back from an earlier process; they hold before the first list comes.
+    pub(crate) fn restore(&mut self, names: impl IntoIterator<Item = String>) {
+        for name in names {
+            self.seen.insert(name.clone());
+            self.banned.insert(name);
+        }
+    }
+
+    /// Listed nodes that take nothing new now: banned, or draining by the list.
+    pub(crate) fn down(&self) -> usize {
+        self.by_name.values().filter(|node| !self.ready.contains(node)).count()
+    }
+
     /// Whether any takes work.
     pub(crate) fn any_ready(&self) -> bool {
         !self.ready.is_empty()
--- a/core/src/serve.rs
+++ b/core/src/serve.rs
@@ -1,6 +1,7 @@
 //! The life of one request, from arrival to its one final answer.
 
 use crate::clock::span;
+use crate::counts::Final;
 use crate::guard::{Admission, Guard};
 use crate::nodes::Target;
 use crate::state::{Core, Order};
@@ -138,6 +139,23 @@
         transport: &T,
         call: &T::Call,
         request: NewRequest,
+    ) -> Answer<T::Answer> {
+        let class = request.class;
+        let answer = self.serve_counted(transport, call, request).await;
+        let how = match &answer {
+            Answer::Served(_) => Final::Success,
+            Answer::Refused { .. } => Final::Busy,
+            Answer::Failed => Final::Failure,
+        };
+        self.counts().answered(class, how);
+        answer
+    }
+
+    async fn serve_counted<T: Transport>(
+        &self,
+        transport: &T,
+        call: &T::Call,
+        request: NewRequest,
     ) -> Answer<T::Answer> {
         let (deadline, writes) = (request.deadline, request.writes);
         let mut counted = None;
@@ -288,6 +306,10 @@
     /// Tells guard and module; gives the guard's word that the node was set aside.
     fn ended(&mut self, number: usize, outcome: Outcome, report: Report) -> Option<Duration> {
         let out = self.attempts[number].take()?;
+        // What never reached the node is no call to it; everything else may have been written whole.
+        if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
+            self.core.counts().attempted();
+        }
         let elapsed = out.sent.elapsed().as_secs_f64() * 1000.0;
         let guard = self.core.guard();
         let aside =
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -1,8 +1,9 @@
 //! What the schedulers' state is made of, and the one lock round it.
 
 use crate::clock::{Clock, span};
+use crate::counts::Counts;
 use crate::guard::Guard;
-use crate::nodes::{Member, Nodes, Target};
+use crate::nodes::{BanError, Member, Nodes, Target};
 use pointcross_decide::{Action, Event, ListKind, RequestId, Scheduler, Settings, SettingsError};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -37,6 +38,7 @@
     timer_set: Notify,
     follow: watch::Sender<bool>,
     guard: Option<Arc<dyn Guard>>,
+    counts: Counts,
 }
 
 impl Core {
@@ -60,7 +62,9 @@
             actions: Vec::new(),
         };
         let (follow, _) = watch::channel(false);
-        Ok(Core { settings, clock, state: Mutex::new(state), timer_set: Notify::new(), follow, guard: None })
+        let counts = Counts::new(settings.classes.len());
+        let state = Mutex::new(state);
+        Ok(Core { settings, clock, state, timer_set: Notify::new(), follow, guard: None, counts })
     }
 
     /// The same core behind a guard.
@@ -97,6 +101,53 @@
         self.lock().requests.len()
     }
 
+    /// What was answered and attempted since the start.
+    pub fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
+    /// How many listed nodes take nothing new now, banned by hand or draining by the list.
+    pub fn nodes_down(&self) -> usize {
+        self.lock().nodes.down()
+    }
+
+    /// Takes a node out by its listed name: the module is told it drains, and every later list says so too
+    /// until [`Core::unban`]. Setting a ban twice is the same as once.
+    ///
+    /// # Errors
+    /// [`BanError::Unknown`] where the name was never listed nor banned; nothing changes then.
+    pub fn ban(&self, name: &str) -> Result<(), BanError> {
+        let mut state = self.lock();
+        if let Some(entry) = state.nodes.ban(name)? {
+            tracing::info!(name, "storage node taken out by hand");
+            self.handle(&mut state, Event::List { kind: ListKind::Changes, entries: vec![entry] });
+        }
+        Ok(())
+    }
+
+    /// Lifts a ban; the node is passed on as the list has it, started now, so that it is treated as cold.
+    ///
+    /// # Errors
+    /// [`BanError::Unknown`] as for [`Core::ban`].
+    pub fn unban(&self, name: &str) -> Result<(), BanError> {
+        let mut state = self.lock();
+        if let Some(entry) = state.nodes.unban(name, self.clock.now())? {
+            tracing::info!(name, "storage node back in by hand");
+            self.handle(&mut state, Event::List { kind: ListKind::Changes, entries: vec![entry] });
+        }
+        Ok(())
+    }
+
+    /// The names banned now, sorted.
+    pub fn banned(&self) -> Vec<String> {
+        self.lock().nodes.banned()
+    }
+
+    /// Takes bans that an earlier process left, before any list comes.
+    pub fn restore_bans(&self, names: impl IntoIterator<Item = String>) {
+        self.lock().nodes.restore(names);
+    }
+
     /// Passes word of the nodes to the module.
     pub fn list(&self, kind: ListKind, members: Vec<Member>) {
         let mut state = self.lock();
--- a/core/tests/serve.rs
+++ b/core/tests/serve.rs
@@ -218,3 +218,40 @@
     core.list(ListKind::Full, vec![member(900, NodeState::Draining)]);
     assert_eq!((core.listed_nodes(), core.can_serve()), (1, false));
 }
+
+/// Guards against a ban by hand that the next list undoes, or that lets anything new reach the node: while it
+/// lasts a request for the node's shard is refused at once, whatever the list says; one call back ends it.
+#[tokio::test(start_paused = true)]
+async fn a_ban_holds_over_lists_until_it_is_lifted() {
+    let (core, held) = (core(), Held::default());
+    assert_eq!(core.ban("s-9"), Err(pointcross_core::BanError::Unknown("s-9".into())));
+    core.ban("s-1").unwrap();
+    core.ban("s-1").unwrap();
+    assert_eq!((core.can_serve(), core.nodes_down(), core.banned()), (false, 1, vec!["s-1".to_owned()]));
+    let again = Member {
+        name: "s-1".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: 0,
+        shard: 0,
+        state: NodeState::Ready,
+        started: 0.0,
+    };
+    core.list(ListKind::Full, vec![again]);
+    assert!(!core.can_serve(), "the list undid the ban");
+    let answer = core.serve(&held, &(), request(0)).await;
+    assert!(matches!(answer, Answer::Refused { .. }), "{answer:?}");
+    assert_eq!(held.out(), 0, "an attempt went to a banned node");
+    core.unban("s-1").unwrap();
+    assert_eq!((core.can_serve(), core.nodes_down()), (true, 0));
+    let serving = {
+        let (core, held) = (core.clone(), held.clone());
+        tokio::spawn(async move { core.serve(&held, &(), request(0)).await })
+    };
+    tokio::time::sleep(Duration::from_millis(1)).await;
+    assert_eq!(held.out(), 1, "nothing went out after the ban ended");
+    held.0.lock().unwrap().remove(0).send(End::Served(3).into()).unwrap();
+    assert_eq!(serving.await.unwrap(), Answer::Served(3));
+    // One refusal, one success, one attempt written.
+    let counts = core.counts();
+    assert_eq!((counts.class(0).busy, counts.class(0).success, counts.backend_calls()), (1, 1, 1));
+}
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -34,6 +34,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// The operators' door, where `ops` or `$RELAY_OPS` names one.
+    pub ops: Option<SocketAddr>,
     /// Seed of the module's random numbers.
     pub seed: u64,
     /// The platform's settings.
@@ -157,6 +159,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    ops: Option<String>,
     seed: Option<String>,
     #[serde(default)]
     limits: PlatformLimits,
@@ -476,6 +479,7 @@
             ("settings", self.parsed == new.parsed),
             ("limits", self.budget == new.budget),
             ("listen", self.listen == new.listen),
+            ("ops", self.ops == new.ops),
             (
                 "membership",
                 self.membership.as_ref().map(MembershipConfig::lasting)
@@ -518,6 +522,10 @@
         };
         let listen = required("RELAY_LISTEN", file.listen);
         let discovery = required("RELAY_DISCOVERY", file.discovery);
+        let ops = match stated("RELAY_OPS", file.ops) {
+            None => Some(None),
+            Some(text) => faults.keep(address("RELAY_OPS", &text)).map(Some),
+        };
         let seed = match file.seed {
             Some(seed) => {
                 faults.keep(u64::from_str_radix(&seed, 16).map_err(|e| bad("seed", format!("{seed:?}: {e}"))))
@@ -541,19 +549,22 @@
         };
         let nbd_sockets = nbd.as_ref().map_or(0, |nbd| nbd.most_sessions);
         let budget = Budget::of(&file.limits, nbd_sockets);
-        match (listen, discovery, seed, parsed) {
-            (Some(listen), Some(discovery), Some(seed), Some(parsed)) if faults.0.is_empty() => Ok(Config {
-                name: stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned()),
-                listen,
-                discovery,
-                seed,
-                parsed,
-                known,
-                budget,
-                nbd,
-                otlp,
-                membership,
-            }),
+        match (listen, discovery, ops, seed, parsed) {
+            (Some(listen), Some(discovery), Some(ops), Some(seed), Some(parsed)) if faults.0.is_empty() => {
+                Ok(Config {
+                    name: stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned()),
+                    listen,
+                    discovery,
+                    ops,
+                    seed,
+                    parsed,
+                    known,
+                    budget,
+                    nbd,
+                    otlp,
+                    membership,
+                })
+            }
             _ => Err(faults),
         }
     }
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -1,5 +1,6 @@
 //! The platform's HTTP front: axum, kept thin. A request is decoded once, handed to the core, and answered.
 
+use crate::ops::Service;
 use crate::seats::{Seat, Seats};
 use crate::shutdown::{Phase, Shutdown};
 use crate::store::{Call, Content, MOST_BODY, Store};
@@ -48,6 +49,7 @@
     telemetry: Telemetry,
     shutdown: Shutdown,
     vetted: Option<Arc<Vetted>>,
+    service: Service,
 }
 
 /// A request class as the front knows it.
@@ -108,6 +110,7 @@
 impl Front {
     /// A front on this core, for these classes and plans by number. It is ready where `vetted`, if there is one,
     /// trusts enough nodes.
+    #[allow(clippy::too_many_arguments)]
     pub fn new(
         core: Arc<Core>,
         store: Arc<Store>,
@@ -116,8 +119,16 @@
         telemetry: Telemetry,
         shutdown: Shutdown,
         vetted: Option<Arc<Vetted>>,
+        service: Service,
     ) -> Self {
-        Front { core, store, classes, plans, telemetry, shutdown, vetted }
+        Front { core, store, classes, plans, telemetry, shutdown, vetted, service }
+    }
+
+    /// Whether this process takes clients: not stopping, not sent away by the staff, a listed node takes work,
+    /// and membership, where it is on, trusts enough nodes.
+    pub fn is_ready(&self) -> bool {
+        let trusted = self.vetted.as_ref().is_none_or(|vetted| vetted.membership().ready(self.core.now()));
+        self.shutdown.phase() == Phase::Running && !self.service.out() && self.core.can_serve() && trusted
     }
 
     /// Decodes a request's head; its time runs from `now`.
@@ -209,7 +220,7 @@
 
     /// Whether answers close their connections.
     fn closes(&self) -> bool {
-        self.shutdown.phase() >= Phase::Draining
+        self.shutdown.phase() >= Phase::Draining || self.service.settled_out()
     }
 }
 
@@ -224,9 +235,7 @@
 }
 
 async fn ready(State(front): State<Arc<Front>>) -> StatusCode {
-    let trusted = front.vetted.as_ref().is_none_or(|vetted| vetted.membership().ready(front.core.now()));
-    let ready = front.shutdown.phase() == Phase::Running && front.core.can_serve() && trusted;
-    if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+    if front.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
 async fn take(
@@ -278,7 +287,8 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     seats.room().await;
-                    tracker.spawn(connection(stream, seats.take(), routes.clone(), shutdown.clone()));
+                    let (shutdown, service) = (shutdown.clone(), front.service.clone());
+                    tracker.spawn(connection(stream, seats.take(), routes.clone(), shutdown, service));
                 }
                 Err(error) => {
                     // Out of descriptors, or a connection that died in the queue.
@@ -305,7 +315,7 @@
     let _ = tokio::time::timeout(patience, tracker.wait()).await;
 }
 
-async fn connection(stream: TcpStream, seat: Seat, routes: Router, shutdown: Shutdown) {
+async fn connection(stream: TcpStream, seat: Seat, routes: Router, shutdown: Shutdown, switch: Service) {
     let _ = stream.set_nodelay(true);
     let (stream, wire) = Watched::new(TokioIo::new(stream));
     let seat = Arc::new(seat);
@@ -339,6 +349,12 @@
                 stopping = true;
                 serving.as_mut().graceful_shutdown();
             }
+            // Guards against clients kept on a scheduler that the staff sent them away from: the same close as
+            // at a stop, but the program goes on and takes new connections again after the call back.
+            () = switch.until_settled_out(), if !stopping => {
+                stopping = true;
+                serving.as_mut().graceful_shutdown();
+            }
         }
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod http;
 pub mod membership;
 pub mod nbd;
+pub mod ops;
 mod pool;
 pub mod reload;
 pub mod rpc;
@@ -56,6 +57,7 @@
     store: Arc<store::Store>,
     telemetry: Telemetry,
     http: TcpListener,
+    ops: Option<TcpListener>,
     nbd: Option<(nbd::NbdConfig, TcpListener)>,
     discovery: watch::Sender<SocketAddr>,
     /// What decides on membership, with what it begins with, where the operator's file turns it on.
@@ -66,6 +68,10 @@
     /// Binds the listeners and gives the module the list as it was last known.
     pub async fn bind(config: Config) -> Result<Self, StartError> {
         let http = listen("listen", config.listen).await?;
+        let ops = match config.ops {
+            None => None,
+            Some(address) => Some(listen("ops", address).await?),
+        };
         let nbd = match config.nbd.clone() {
             None => None,
             Some(nbd) => Some((nbd.clone(), listen("nbd.listen", nbd.listen).await?)),
@@ -87,7 +93,7 @@
             Some(otlp) => Telemetry::start(otlp, &config.name, &config.parsed)?,
         };
         let (discovery, _) = watch::channel(config.discovery);
-        Ok(Daemon { config, core, store, telemetry, http, nbd, discovery, vetted })
+        Ok(Daemon { config, core, store, telemetry, http, ops, nbd, discovery, vetted })
     }
 
     /// Where HTTP clients connect.
@@ -95,6 +101,11 @@
         self.http.local_addr()
     }
 
+    /// Where the operators' door is, where it is on.
+    pub fn ops_address(&self) -> Option<SocketAddr> {
+        self.ops.as_ref().and_then(|listener| listener.local_addr().ok())
+    }
+
     /// Where NBD clients connect, where that front is on.
     pub fn nbd_address(&self) -> Option<SocketAddr> {
         self.nbd.as_ref().and_then(|(_, listener)| listener.local_addr().ok())
@@ -114,7 +125,20 @@
     pub async fn run(self, shutdown: Shutdown) {
         let (http, nbd) = (self.http_address().ok(), self.nbd_address());
         tracing::info!(name = self.config.name, ?http, ?nbd, "serving");
-        let Daemon { config, core, store, telemetry, http, nbd, discovery, vetted } = self;
+        let Daemon { config, core, store, telemetry, http, ops, nbd, discovery, vetted } = self;
+        // Bans that an earlier process of this scheduler left hold before the first list comes.
+        let bans = ops.as_ref().map(|_| ops::bans::path_for(&std::env::temp_dir(), config.listen));
+        if let Some(path) = &bans {
+            match ops::bans::read(path) {
+                Ok(names) if names.is_empty() => {}
+                Ok(names) => {
+                    tracing::info!(?names, "storage nodes still taken out by hand");
+                    core.restore_bans(names);
+                }
+                Err(error) => tracing::warn!(%error, "bans' file not used"),
+            }
+        }
+        let service = ops::Service::default();
         let mut place = discovery.subscribe();
         let longest = core.settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         shutdown.longest_request(Duration::try_from_secs_f64(longest / 1000.0).unwrap_or_default());
@@ -137,7 +161,17 @@
             telemetry.clone(),
             shutdown.clone(),
             vetted.clone(),
+            service.clone(),
         ));
+        let classes = config.front_classes().into_iter().map(|class| class.name).collect();
+        let door = Arc::new(ops::Door::new(core.clone(), front.clone(), service, classes, bans));
+        // Without a door this never ends: it must not end the program's run.
+        let door = async move {
+            match ops {
+                Some(listener) => ops::accept(listener, door).await,
+                None => std::future::pending().await,
+            }
+        };
         let nbd = async {
             if let Some((nbd, listener)) = nbd {
                 let nbd = nbd::Nbd::new(nbd, core.clone(), store, telemetry.clone(), shutdown, config.seed);
@@ -149,6 +183,7 @@
         tokio::select! {
             () = core.run_timers() => {}
             () = following => {}
+            () = door => {}
             _ = async { tokio::join!(http::accept(http, front, config.budget.front), nbd) } => {}
         }
         telemetry.shutdown().await;
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -162,6 +162,8 @@
     pub http: SocketAddr,
     /// Where NBD clients connect.
     pub nbd: Option<SocketAddr>,
+    /// The operators' door, where the configuration names one.
+    pub ops: Option<SocketAddr>,
     /// Its core.
     pub core: Arc<pointcross_core::Core>,
     stop: Option<oneshot::Sender<()>>,
@@ -216,11 +218,12 @@
         let (stop, told) = oneshot::channel();
         let daemon = Daemon::bind(config).await.unwrap();
         let (http, nbd, core) = (daemon.http_address().unwrap(), daemon.nbd_address(), daemon.core().clone());
+        let ops = daemon.ops_address();
         let shutdown = Shutdown::when(async {
             let _ = told.await;
         });
         let task = tokio::spawn(daemon.run(shutdown));
-        Running { http, nbd, core, stop: Some(stop), task }
+        Running { http, nbd, ops, core, stop: Some(stop), task }
     }
 
     /// As SIGTERM does.
