--- a/core/src/nodes.rs
+++ b/core/src/nodes.rs
@@ -41,7 +41,8 @@
     ready: HashSet<NodeId>,
     /// Each listed member as the list last gave it, before any ban: what is passed on when the ban ends.
     members: HashMap<String, Member>,
-    /// Names that the staff took out; they outlast the list, and a name that is gone keeps its ban.
+    /// Names that the staff took out; they outlast the list, and a name that is gone keeps its ban. Bounded as
+    /// `seen` is: a ban is set only on a seen name, or restored up to `MOST_SEEN`.
     banned: HashSet<String>,
     /// Every name ever listed, so that a ban can be told from a typing error. Bounded by `MOST_SEEN`; at the
     /// bound the oldest are not forgotten but new ones are no longer noted, so a ban on them is refused.
@@ -144,8 +145,9 @@
     }
 
     /// Takes bans read back from an earlier process; they hold before the first list comes.
+    /// At most `MOST_SEEN` are taken, so that a file of any length cannot grow the tables past their bound.
     pub(crate) fn restore(&mut self, names: impl IntoIterator<Item = String>) {
-        for name in names {
+        for name in names.into_iter().take(MOST_SEEN.saturating_sub(self.banned.len())) {
             self.seen.insert(name.clone());
             self.banned.insert(name);
         }
