Check the door's reading of calls and the bans' file over random input

Two proptest properties: a call is taken only where method, path and body make one of the six, and a taken id is exactly the path's; any list of ids reads back from its file as written, and a file cut anywhere is refused or holds a prefix of the ids, never another id.

--- a/daemon/src/ops/bans.rs
+++ b/daemon/src/ops/bans.rs
@@ -116,4 +116,22 @@
         assert_eq!(parse("pointcross bans 1\ns-1\nnot an id\n"), Err((3, "not a storage node id")));
         assert_eq!(parse(&render(&["s-2".into()])), Ok(vec!["s-2".to_owned()]));
     }
+
+    proptest::proptest! {
+        /// Guards against a file that reads back other bans than were written, or a torn one taken whole: any
+        /// list of ids comes back as it was, and any cut of its text short of the whole is refused or holds a
+        /// prefix of the ids only.
+        #[test]
+        fn what_is_written_reads_back_and_a_cut_never_adds(
+            ids in proptest::collection::vec("[a-z0-9][a-z0-9._:-]{0,20}", 0..20),
+            cut in 0usize..400,
+        ) {
+            let text = render(&ids);
+            proptest::prop_assert_eq!(parse(&text), Ok(ids.clone()));
+            let cut = cut.min(text.len());
+            if let Ok(read) = parse(&text[..cut]) {
+                proptest::prop_assert!(ids.starts_with(&read), "{read:?} from a cut of {ids:?}");
+            }
+        }
+    }
 }
--- a/daemon/src/ops/decide.rs
+++ b/daemon/src/ops/decide.rs
@@ -195,4 +195,18 @@
             ["app_backend_calls 820", "app_inflight 14", "app_hosts_listed 6", "app_hosts_down 1"]
         );
     }
+
+    proptest::proptest! {
+        /// Guards against a door that acts on a path it cannot read: whatever comes, a call is taken only where
+        /// the path is one of the six, the method fits and there is no body; an id taken is exactly the path's.
+        #[test]
+        fn only_a_whole_call_is_taken(method in "(GET|PUT|POST|DELETE)", path in "/[a-z/%:._-]{0,40}", body: bool) {
+            match route(&method, &path, body) {
+                Ok(Call::Offline(id)) => proptest::prop_assert_eq!(path, format!("/control/storage-nodes/{id}/offline")),
+                Ok(Call::Online(id)) => proptest::prop_assert_eq!(path, format!("/control/storage-nodes/{id}/online")),
+                Ok(_) => proptest::prop_assert!(!body && path.starts_with(PREFIX)),
+                Err(wrong) => proptest::prop_assert!((400..500).contains(&wrong.status())),
+            }
+        }
+    }
 }
