Keep a connection whose next request has begun to come out of the idle ones thinned out

A seat turned from idle to asking only once a request's body was whole, so the connection that was idle longest, and so likely the next that a client reuses, could be closed while a write's head or body was coming.

--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -1,7 +1,7 @@
 //! The platform's HTTP front: axum, kept thin. A request is decoded once, handed to the core, and answered.
 
 use crate::ops::Service;
-use crate::seats::{Seat, Seats};
+use crate::seats::{Heeded, Seat, Seats};
 use crate::shutdown::{Phase, Shutdown};
 use crate::store::{Call, Content, MOST_BODY, Store};
 use crate::telemetry::Telemetry;
@@ -318,8 +318,8 @@
 
 async fn connection(stream: TcpStream, seat: Seat, routes: Router, shutdown: Shutdown, switch: Service) {
     let _ = stream.set_nodelay(true);
-    let (stream, wire) = Watched::new(TokioIo::new(stream));
     let seat = Arc::new(seat);
+    let (stream, wire) = Watched::new(TokioIo::new(Heeded::new(stream, seat.clone())));
     let mut server = http1::Builder::new();
     server.timer(TokioTimer::new()).header_read_timeout(IDLE).max_buf_size(MOST_HEAD);
     let service = TowerToHyperService::new(routes.layer(Extension(seat.clone())));
--- a/daemon/tests/http.rs
+++ b/daemon/tests/http.rs
@@ -342,3 +342,34 @@
     outcome.unwrap();
     runtime.block_on(until(|| running.core.open_requests() == 0));
 }
+
+/// Guards against a write taken and then dropped unanswered: the connection that was idle longest is thinned
+/// out while its next request's body is still coming. It used to count as idle until the body was whole, so the
+/// seats closed it under the request (the operators' upgrade day broke its rule on lost requests so).
+#[tokio::test]
+async fn a_connection_whose_request_is_coming_is_not_thinned_out() {
+    let (store, seen) = store(|_, _| ok("kept")).await;
+    let (discovery, _) = stand_in(|_| async { Deed::Silence }).await;
+    let mut config = config(store, discovery, "");
+    // Idle ones thin out once more than two of eight are idle.
+    config.budget.front = 8;
+    let running = Running::with(config).await;
+    let http = running.http;
+    let get = |id| request("reading-get", "standard", 9, id, b"");
+    let (mut longest, mut next) = (connect(http).await, connect(http).await);
+    assert_eq!(exchange(&mut longest, &get(1)).await.unwrap().status(), 200);
+    assert_eq!(exchange(&mut next, &get(2)).await.unwrap().status(), 200);
+    // The longest idle begins a write and holds back the last bytes of its body; a whole exchange through the
+    // program and its node lets the program read what came.
+    let write = request("reading-put", "standard", 9, 3, b"rainfall");
+    let (head, rest) = write.split_at(write.len() - 4);
+    longest.write_all(head).await.unwrap();
+    assert_eq!(exchange(&mut next, &get(4)).await.unwrap().status(), 200);
+    // A third connection's answer leaves three idle by the old count: the longest would go.
+    let mut third = connect(http).await;
+    assert_eq!(exchange(&mut third, &get(5)).await.unwrap().status(), 200);
+    longest.write_all(rest).await.unwrap();
+    let answer = read_message(&mut longest).await.expect("the write is answered, not dropped");
+    assert_eq!((answer.status(), answer.body), (200, b"kept".to_vec()));
+    assert_eq!(seen.all().len(), 5);
+}
