Begin the fleet rig: real processes, fault links, stand-in nodes and list service

Need: nothing has ever started several processes of the program together and put faults between them, so how the fleet bears dropped links, crashes and a list service that is down was unknown (issue on a fleet of real processes, its first part).

Change: a package, fleet/, that starts schedulers by exec of the built program (own address, platform file, TMPDIR, log), stops and kills them by process id and starts them again at their address; a proxy link for every scheduler and peer (pass, drop, refuse, log-normal delay, cut); stand-in nodes with a queue limit, warm-up and their own log of calls by 10 ms slot and of writes; a stand-in list service with one endpoint a scheduler; open-loop clients; TOML scenarios whose picks are drawn from the seed. The program itself is unchanged.

--- /dev/null
+++ b/cli/tests/fleet.rs
@@ -0,0 +1,67 @@
+//! Eight real processes of the program before stand-in nodes and a list service, with faults between them.
+
+use pointcross_fleet::HallSettings;
+use pointcross_fleet::scenario::{Scenario, rehearse};
+
+/// Guards against a fleet that loses requests, doubles writes or crashes when links drop and slow, a scheduler is
+/// killed and started again and the list service is down for a while: every request gets one final answer.
+#[test]
+fn eight_schedulers_bear_dropped_links_delays_a_crash_and_a_restart() {
+    let scenario = Scenario::parse(
+        r#"
+        about = "eight schedulers, four nodes; links drop and slow, one scheduler is killed and comes back"
+        seconds = 8.0
+        nodes = 4
+        known_list = true
+        load = { rate = 160.0, write_share = 0.3, deadline_ms = 2000, shards = 4 }
+        [[event]]
+        at = 1.0
+        do = "list"
+        mood = { kind = "down" }
+        [[event]]
+        at = 1.5
+        do = "node_links"
+        which = [1, 2]
+        fault = { kind = "delayed", median_ms = 40.0, sigma = 0.5 }
+        [[event]]
+        at = 2.0
+        do = "node_links"
+        which = [3]
+        fault = { kind = "dropped" }
+        [[event]]
+        at = 2.5
+        do = "kill"
+        which = [5]
+        [[event]]
+        at = 4.0
+        do = "restart"
+        which = [5]
+        [[event]]
+        at = 4.5
+        do = "node_links"
+        which = [1, 2, 3]
+        fault = { kind = "up" }
+        [[event]]
+        at = 5.0
+        do = "list"
+        mood = { kind = "up" }
+        "#,
+    )
+    .unwrap();
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("fleet-eight");
+    let _ = std::fs::remove_dir_all(&folder);
+    let settings = HallSettings {
+        program: env!("CARGO_BIN_EXE_pointcross").into(),
+        folder,
+        schedulers: 8,
+        nodes: 4,
+        node: Default::default(),
+        operator: None,
+        known_list: true,
+        seed: 1311,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let verdict = runtime.block_on(rehearse(&scenario, &settings)).unwrap();
+    assert!(verdict.rules_hold(), "{verdict:?}");
+    assert!(verdict.sent > 1000 && verdict.served_share > 0.7, "{verdict:?}");
+}
--- /dev/null
+++ b/fleet/src/ledger.rs
@@ -0,0 +1,113 @@
+//! Counts by 10 ms slot, and the verdict over what the stand-ins logged.
+
+use serde::Serialize;
+use std::time::Duration;
+
+/// The width of a slot.
+pub const SLOT: Duration = Duration::from_millis(10);
+/// The most slots kept: ten minutes. Later calls count in the last slot, so the table stays bounded.
+const MOST_SLOTS: usize = 60_000;
+
+/// Calls counted in slots of [`SLOT`] from the rig's start.
+#[derive(Clone, Debug, Default)]
+pub struct Slots(Vec<u32>);
+
+impl Slots {
+    /// Counts a call at `at` after the start.
+    pub fn note(&mut self, at: Duration) {
+        let slot = ((at.as_millis() / SLOT.as_millis()) as usize).min(MOST_SLOTS - 1);
+        if self.0.len() <= slot {
+            self.0.resize(slot + 1, 0);
+        }
+        self.0[slot] += 1;
+    }
+
+    /// All calls.
+    pub fn total(&self) -> u64 {
+        self.0.iter().map(|&calls| u64::from(calls)).sum()
+    }
+
+    /// The most calls in any second, reckoned over every window of 100 slots.
+    pub fn peak_per_second(&self) -> u64 {
+        let width = (Duration::from_secs(1).as_millis() / SLOT.as_millis()) as usize;
+        let mut window: u64 = 0;
+        let mut most = 0;
+        for (i, &calls) in self.0.iter().enumerate() {
+            window += u64::from(calls);
+            if i >= width {
+                window -= u64::from(self.0[i - width]);
+            }
+            most = most.max(window);
+        }
+        most
+    }
+
+    /// Adds another's counts to these.
+    pub fn add(&mut self, other: &Slots) {
+        if self.0.len() < other.0.len() {
+            self.0.resize(other.0.len(), 0);
+        }
+        for (mine, theirs) in self.0.iter_mut().zip(&other.0) {
+            *mine += theirs;
+        }
+    }
+
+    /// Calls in each second, for plots.
+    pub fn per_second(&self) -> Vec<u64> {
+        self.0.chunks(100).map(|chunk| chunk.iter().map(|&calls| u64::from(calls)).sum()).collect()
+    }
+}
+
+/// What a fleet run comes to, from the stand-ins' logs and the clients' own count of answers.
+#[derive(Clone, Debug, Default, Serialize, PartialEq)]
+pub struct Verdict {
+    /// Scheduler processes started.
+    pub schedulers: usize,
+    /// Calls to the list service in its busiest second.
+    pub list_peak_per_s: u64,
+    /// All calls to the list service.
+    pub list_calls: u64,
+    /// Requests that nodes turned away for a full queue.
+    pub node_overloads: u64,
+    /// Requests sent by clients.
+    pub sent: u64,
+    /// Requests answered 200.
+    pub served: u64,
+    /// Requests refused (429 or 503).
+    pub refused: u64,
+    /// Requests answered otherwise.
+    pub failed: u64,
+    /// The part of requests served.
+    pub served_share: f64,
+    /// Written paths that a node ran more than once.
+    pub doubled_writes: u64,
+    /// Requests whose client never heard a final answer within its deadline and a margin.
+    pub unanswered: u64,
+    /// Scheduler processes that ended without being told to.
+    pub crashed: u64,
+}
+
+impl Verdict {
+    /// Whether the rules hold: no doubled write, every request answered, no crash.
+    pub fn rules_hold(&self) -> bool {
+        self.doubled_writes == 0 && self.unanswered == 0 && self.crashed == 0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a peak that splits a burst over two fixed seconds and so halves it.
+    #[test]
+    fn the_peak_is_taken_over_sliding_seconds() {
+        let mut slots = Slots::default();
+        for ms in 900..1100 {
+            slots.note(Duration::from_millis(ms));
+        }
+        assert_eq!(slots.per_second(), vec![100, 100]);
+        assert_eq!(slots.peak_per_second(), 200);
+        slots.note(Duration::from_secs(3600));
+        assert_eq!(slots.total(), 201);
+    }
+}
--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,18 @@
+//! A fleet of real scheduler processes on loopback, before stand-in storage nodes and a stand-in list service,
+//! with a fault proxy on every link between a scheduler and a peer.
+//!
+//! Guards against what one process cannot show: how many schedulers behave together when links drop or slow,
+//! processes crash and restart, or the list service is down. Every figure of the verdict comes from the stand-ins'
+//! own logs and the clients' count of answers, never from the schedulers' word.
+
+pub mod client;
+pub mod hall;
+pub mod ledger;
+pub mod link;
+pub mod list;
+pub mod node;
+pub mod process;
+pub mod scenario;
+
+pub use hall::{Hall, HallSettings};
+pub use ledger::Verdict;
--- /dev/null
+++ b/fleet/src/scenario.rs
@@ -0,0 +1,267 @@
+//! A scenario of faults for a hall, in TOML, and its play: the same file and seed give the same faults at the
+//! same times.
+
+use crate::client::{LoadSettings, splitmix};
+use crate::hall::Hall;
+use crate::link::Fault;
+use crate::list::ListMood;
+use crate::node::{Mood, NodeSettings};
+use serde::Deserialize;
+use std::time::Duration;
+
+/// A scenario as its file gives it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// What it rehearses, in a line.
+    pub about: String,
+    /// How long clients send, in seconds.
+    pub seconds: f64,
+    /// Storage nodes.
+    pub nodes: usize,
+    /// Each node.
+    #[serde(default)]
+    pub node: NodeSettings,
+    /// The clients.
+    #[serde(default)]
+    pub load: LoadSettings,
+    /// Whether schedulers start with a saved list.
+    #[serde(default)]
+    pub known_list: bool,
+    /// What happens, in order of time.
+    #[serde(default, rename = "event")]
+    pub events: Vec<Event>,
+}
+
+/// Which schedulers, nodes or links an event touches.
+// Flattened into events, so unknown keys cannot be denied here: serde does not deny through `flatten`.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Pick {
+    /// The part of them, drawn by the seed; 1 is all.
+    #[serde(default = "all")]
+    pub share: f64,
+    /// These by number, in place of a share.
+    #[serde(default)]
+    pub which: Vec<usize>,
+}
+
+impl Pick {
+    fn members(&self, count: usize, seed: u64, event: usize) -> Vec<usize> {
+        if self.which.is_empty() {
+            picked(self.share, count, seed, event)
+        } else {
+            self.which.iter().copied().filter(|&i| i < count).collect()
+        }
+    }
+}
+
+fn all() -> f64 {
+    1.0
+}
+
+/// One event.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Event {
+    /// When, in seconds from the clients' start.
+    pub at: f64,
+    /// What.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// What an event does.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "do")]
+pub enum What {
+    /// Kills schedulers outright.
+    Kill(Pick),
+    /// Starts killed or stopped schedulers again.
+    Restart(Pick),
+    /// Sends SIGTERM to schedulers and waits for their end.
+    Terminate(Pick),
+    /// Sets the links from schedulers to nodes.
+    NodeLinks {
+        /// Which.
+        #[serde(flatten)]
+        pick: Pick,
+        /// To what.
+        fault: Fault,
+    },
+    /// Sets the links from schedulers to the list service.
+    ListLinks {
+        /// Which.
+        #[serde(flatten)]
+        pick: Pick,
+        /// To what.
+        fault: Fault,
+    },
+    /// Sets how nodes behave.
+    Nodes {
+        /// Which.
+        #[serde(flatten)]
+        pick: Pick,
+        /// To what.
+        mood: Mood,
+    },
+    /// Starts nodes again, cold.
+    RestartNodes(Pick),
+    /// Sets how the list service behaves.
+    List {
+        /// To what.
+        mood: ListMood,
+    },
+}
+
+/// What is wrong with a scenario.
+#[derive(Debug, thiserror::Error)]
+pub enum ScenarioError {
+    /// Not TOML of this form; the message names the key and line.
+    #[error("{0}")]
+    Toml(#[from] toml::de::Error),
+    /// A figure out of its range.
+    #[error("{key}: {found}; wanted {wanted}")]
+    Range {
+        /// The key.
+        key: String,
+        /// What was found.
+        found: String,
+        /// What is wanted.
+        wanted: &'static str,
+    },
+}
+
+impl Scenario {
+    /// Reads and checks a scenario's text.
+    pub fn parse(text: &str) -> Result<Self, ScenarioError> {
+        let scenario: Scenario = toml::from_str(text)?;
+        let range = |key: String, found: f64, ok: bool, wanted| {
+            if ok { Ok(()) } else { Err(ScenarioError::Range { key, found: found.to_string(), wanted }) }
+        };
+        range(
+            "seconds".into(),
+            scenario.seconds,
+            scenario.seconds > 0.0 && scenario.seconds <= 3600.0,
+            "0 to 3600",
+        )?;
+        range("nodes".into(), scenario.nodes as f64, (1..=1000).contains(&scenario.nodes), "1 to 1000")?;
+        for (n, event) in scenario.events.iter().enumerate() {
+            let key = format!("event[{n}].at");
+            range(key, event.at, event.at >= 0.0 && event.at <= scenario.seconds, "0 to seconds")?;
+            let share = match &event.what {
+                What::Kill(pick) | What::Restart(pick) | What::Terminate(pick) | What::RestartNodes(pick) => {
+                    pick.share
+                }
+                What::NodeLinks { pick, .. } | What::ListLinks { pick, .. } | What::Nodes { pick, .. } => {
+                    pick.share
+                }
+                What::List { .. } => 1.0,
+            };
+            range(format!("event[{n}].share"), share, (0.0..=1.0).contains(&share), "0 to 1")?;
+        }
+        Ok(scenario)
+    }
+}
+
+/// The members of `0..count` that a pick takes, drawn by the seed and the event's number.
+pub fn picked(share: f64, count: usize, seed: u64, event: usize) -> Vec<usize> {
+    let cut = (share * u64::MAX as f64) as u64;
+    (0..count).filter(|&i| share >= 1.0 || splitmix(seed ^ (event as u64) << 40 ^ i as u64) < cut).collect()
+}
+
+/// Plays the events into the hall while its clients send; ends after the last event.
+pub async fn play(scenario: &Scenario, hall: &mut Hall, seed: u64) {
+    let begun = tokio::time::Instant::now();
+    for (n, event) in scenario.events.iter().enumerate() {
+        tokio::time::sleep_until(begun + Duration::from_secs_f64(event.at)).await;
+        hall.check();
+        let schedulers = hall.schedulers.len();
+        let nodes = hall.nodes.len();
+        match &event.what {
+            What::Kill(pick) => {
+                for i in pick.members(schedulers, seed, n) {
+                    hall.kill(i).await;
+                }
+            }
+            What::Terminate(pick) => {
+                for i in pick.members(schedulers, seed, n) {
+                    hall.terminate(i).await;
+                }
+            }
+            What::Restart(pick) => {
+                for i in pick.members(schedulers, seed, n) {
+                    if !hall.schedulers[i].running() {
+                        let _ = hall.start(i).await;
+                    }
+                }
+            }
+            What::NodeLinks { pick, fault } => {
+                for i in pick.members(schedulers, seed, n) {
+                    for node in 0..nodes {
+                        hall.set_node_link(i, node, *fault);
+                    }
+                }
+            }
+            What::ListLinks { pick, fault } => {
+                for i in pick.members(schedulers, seed, n) {
+                    hall.set_list_link(i, *fault);
+                }
+            }
+            What::Nodes { pick, mood } => {
+                for node in pick.members(nodes, seed, n) {
+                    hall.set_node(node, *mood);
+                }
+            }
+            What::RestartNodes(pick) => {
+                for node in pick.members(nodes, seed, n) {
+                    hall.restart_node(node);
+                }
+            }
+            What::List { mood } => hall.set_list(*mood),
+        }
+    }
+}
+
+/// Sets a hall up for the scenario, starts every scheduler at once, sends and plays the events side by side,
+/// stops the hall and gives the verdict.
+pub async fn rehearse(
+    scenario: &Scenario,
+    settings: &crate::hall::HallSettings,
+) -> Result<crate::ledger::Verdict, crate::process::StartError> {
+    let settings = crate::hall::HallSettings {
+        nodes: scenario.nodes,
+        node: scenario.node.clone(),
+        known_list: scenario.known_list || settings.known_list,
+        ..settings.clone()
+    };
+    let file = |error| crate::process::StartError::File { path: settings.folder.clone(), error };
+    let mut hall = Hall::build(&settings).await.map_err(file)?;
+    let started = hall.start_all().await;
+    if let Err(error) = started {
+        hall.shut().await;
+        return Err(error);
+    }
+    let (clients, fleet) = hall.clients(scenario.load.clone());
+    let length = Duration::from_secs_f64(scenario.seconds);
+    tokio::join!(clients.run(fleet, length, settings.seed), play(scenario, &mut hall, settings.seed));
+    let verdict = hall.verdict(&clients);
+    hall.shut().await;
+    Ok(verdict)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a scenario that plays other faults for the same seed, or a bad figure taken silently.
+    #[test]
+    fn a_pick_is_the_same_for_a_seed_and_bad_figures_are_named() {
+        assert_eq!(picked(0.3, 50, 7, 2), picked(0.3, 50, 7, 2));
+        assert_ne!(picked(0.3, 50, 7, 2), picked(0.3, 50, 8, 2));
+        assert_eq!(picked(1.0, 5, 7, 0), vec![0, 1, 2, 3, 4]);
+        let text = "about = \"x\"\nseconds = 5.0\nnodes = 2\n[[event]]\nat = 9.0\ndo = \"kill\"\n";
+        let error = Scenario::parse(text).unwrap_err().to_string();
+        assert!(error.starts_with("event[0].at: 9"), "{error}");
+        let error = Scenario::parse("about = \"x\"\nseconds = 5.0\nnodes = 2\nnodse = 3\n").unwrap_err();
+        assert!(error.to_string().contains("nodse"), "{error}");
+    }
+}
