Add lab fleet: a scenario of faults played on real processes, ending in one JSON line

Need: the fleet rig could be driven only from a test; the cold start of hundreds of schedulers has to be measured from the command line first, at the size the issue names.

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -28,6 +28,29 @@
     BisectSize(BisectSize),
     /// Put load on a scheduler, or on one of its own before nodes that answer at once
     Load(LoadTool),
+    /// Start a fleet of real processes of this program before stand-in nodes, and play a scenario of faults
+    Fleet(FleetRun),
+}
+
+#[derive(Args)]
+pub struct FleetRun {
+    /// The scenario (TOML)
+    scenario: PathBuf,
+    /// Scheduler processes
+    #[arg(long, default_value_t = 8)]
+    schedulers: usize,
+    /// Seed of the faults' picks and the load
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The schedulers' operator's file, where they have one
+    #[arg(long)]
+    operator: Option<PathBuf>,
+    /// Where the schedulers' folders and logs go; a fresh one under the system's temporary folder if left out
+    #[arg(long)]
+    folder: Option<PathBuf>,
+    /// One line of JSON
+    #[arg(long)]
+    json: bool,
 }
 
 #[derive(Args)]
@@ -150,6 +173,7 @@
             Lab::Compare(compare) => compare.run(),
             Lab::BisectSize(bisect) => bisect.run(),
             Lab::Load(load) => load.run(),
+            Lab::Fleet(fleet) => fleet.run(),
         };
         match ended {
             Ok(code) => ExitCode::from(code),
@@ -310,3 +334,41 @@
         println!("RULES BROKEN: {:?}", outcome.broken);
     }
 }
+
+impl FleetRun {
+    #[tokio::main(flavor = "multi_thread", worker_threads = 4)]
+    async fn run(self) -> Result<u8, String> {
+        use pointcross_fleet::scenario::{Scenario, rehearse};
+        let scenario =
+            Scenario::parse(&text(&self.scenario)?).map_err(|fault| named(&self.scenario, &fault))?;
+        if self.schedulers == 0 {
+            return Err("--schedulers: 0: wanted 1 or more".into());
+        }
+        let operator = self.operator.as_deref().map(text).transpose()?;
+        let folder = self
+            .folder
+            .unwrap_or_else(|| std::env::temp_dir().join(format!("pointcross-fleet-{}", std::process::id())));
+        let settings = pointcross_fleet::HallSettings {
+            program: std::env::current_exe().map_err(|error| error.to_string())?,
+            folder,
+            schedulers: self.schedulers,
+            nodes: scenario.nodes,
+            node: scenario.node.clone(),
+            operator,
+            known_list: scenario.known_list,
+            seed: self.seed,
+        };
+        let begun = Instant::now();
+        let verdict = rehearse(&scenario, &settings).await.map_err(|error| error.to_string())?;
+        let mut told = serde_json::to_value(&verdict).map_err(|error| error.to_string())?;
+        told["wall_s"] = json!(begun.elapsed().as_secs_f64());
+        if self.json {
+            println!("{told}");
+        } else {
+            for (key, value) in told.as_object().into_iter().flatten() {
+                println!("{key:>16}  {value}");
+            }
+        }
+        Ok(if verdict.rules_hold() { 0 } else { BROKEN })
+    }
+}
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -9,6 +9,7 @@
 fn eight_schedulers_bear_dropped_links_delays_a_crash_and_a_restart() {
     let scenario = Scenario::parse(
         r#"
+        kind = "fleet"
         about = "eight schedulers, four nodes; links drop and slow, one scheduler is killed and comes back"
         seconds = 8.0
         nodes = 4
--- a/fleet/src/scenario.rs
+++ b/fleet/src/scenario.rs
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
+    /// Always `fleet`: it tells these files from the laboratory's scripts, which share their folder.
+    pub kind: String,
     /// What it rehearses, in a line.
     pub about: String,
     /// How long clients send, in seconds.
@@ -134,6 +136,10 @@
     /// Reads and checks a scenario's text.
     pub fn parse(text: &str) -> Result<Self, ScenarioError> {
         let scenario: Scenario = toml::from_str(text)?;
+        if scenario.kind != "fleet" {
+            let found = scenario.kind.clone();
+            return Err(ScenarioError::Range { key: "kind".into(), found, wanted: "fleet" });
+        }
         let range = |key: String, found: f64, ok: bool, wanted| {
             if ok { Ok(()) } else { Err(ScenarioError::Range { key, found: found.to_string(), wanted }) }
         };
@@ -258,10 +264,12 @@
         assert_eq!(picked(0.3, 50, 7, 2), picked(0.3, 50, 7, 2));
         assert_ne!(picked(0.3, 50, 7, 2), picked(0.3, 50, 8, 2));
         assert_eq!(picked(1.0, 5, 7, 0), vec![0, 1, 2, 3, 4]);
-        let text = "about = \"x\"\nseconds = 5.0\nnodes = 2\n[[event]]\nat = 9.0\ndo = \"kill\"\n";
+        let text =
+            "kind = \"fleet\"\nabout = \"x\"\nseconds = 5.0\nnodes = 2\n[[event]]\nat = 9.0\ndo = \"kill\"\n";
         let error = Scenario::parse(text).unwrap_err().to_string();
         assert!(error.starts_with("event[0].at: 9"), "{error}");
-        let error = Scenario::parse("about = \"x\"\nseconds = 5.0\nnodes = 2\nnodse = 3\n").unwrap_err();
+        let error = Scenario::parse("kind = \"fleet\"\nabout = \"x\"\nseconds = 5.0\nnodes = 2\nnodse = 3\n")
+            .unwrap_err();
         assert!(error.to_string().contains("nodse"), "{error}");
     }
 }
--- a/lab/tests/rehearsal.rs
+++ b/lab/tests/rehearsal.rs
@@ -33,8 +33,10 @@
 #[test]
 fn the_shipped_scripts_keep_the_rules() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/rehearsals");
-    let scripts = std::fs::read_dir(folder).unwrap().map(|entry| {
-        let path = entry.unwrap().path();
+    // Scenarios of the fleet rig share the folder; they are played by `pointcross lab fleet`.
+    let paths = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let paths = paths.filter(|path| !std::fs::read_to_string(path).unwrap().contains("\nkind = \"fleet\""));
+    let scripts = paths.map(|path| {
         std::thread::spawn(move || {
             let script = script(&std::fs::read_to_string(&path).unwrap());
             let outcome = play(&script, 3, 1);
