Pace the calls for the list from the operator's file; lab fleet plays a naive run beside

Need: a hall of schedulers that starts at once calls the list service together.

Change: membership/src/pace.rs decides when a call may go, without I/O or clock: a scheduler that holds a list waits a part of spread_ms drawn from its seed and name before its first call; after the n-th failure in a row it waits a time drawn from 0 to base_ms doubled n-1 times, at most cap_ms (full jitter); never more than budget calls in window_ms. The discovery driver asks it before each call at its place and holds a watch for hold_ms.

Test paced_calls_for_the_list_spread_a_hall_that_starts_at_once (12 processes; fails without the pace: every first call in one second).

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -48,6 +48,9 @@
     /// Where the schedulers' folders and logs go; a fresh one under the system's temporary folder if left out
     #[arg(long)]
     folder: Option<PathBuf>,
+    /// Play the scenario alone, without the naive run beside it (no saved list, no operator's file)
+    #[arg(long)]
+    no_naive: bool,
     /// One line of JSON
     #[arg(long)]
     json: bool,
@@ -361,6 +364,25 @@
         let begun = Instant::now();
         let verdict = rehearse(&scenario, &settings).await.map_err(|error| error.to_string())?;
         let mut told = serde_json::to_value(&verdict).map_err(|error| error.to_string())?;
+        let mut holds = verdict.rules_hold();
+        if !self.no_naive {
+            // The same seed and faults, as the program stood before: the figures to hold the run against.
+            let plain = pointcross_fleet::HallSettings {
+                folder: settings.folder.join("naive"),
+                operator: None,
+                known_list: false,
+                ..settings.clone()
+            };
+            let naive = rehearse(&pointcross_fleet::scenario::naive(&scenario), &plain).await;
+            let naive = naive.map_err(|error| error.to_string())?;
+            holds &= naive.rules_hold();
+            let naive = serde_json::to_value(&naive).map_err(|error| error.to_string())?;
+            for (key, value) in naive.as_object().into_iter().flatten() {
+                if key != "schedulers" {
+                    told[format!("naive_{key}")] = value.clone();
+                }
+            }
+        }
         told["wall_s"] = json!(begun.elapsed().as_secs_f64());
         if self.json {
             println!("{told}");
@@ -369,6 +391,6 @@
                 println!("{key:>16}  {value}");
             }
         }
-        Ok(if verdict.rules_hold() { 0 } else { BROKEN })
+        Ok(if holds { 0 } else { BROKEN })
     }
 }
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -66,3 +66,41 @@
     assert!(verdict.rules_hold(), "{verdict:?}");
     assert!(verdict.sent > 1000 && verdict.served_share > 0.7, "{verdict:?}");
 }
+
+/// Guards against a hall whose schedulers all call the list service in the same second at a start: with
+/// `[list_calls]` the first calls of those that hold a saved list spread over `spread_ms`, and a watch is held
+/// long; without it, every one of twelve calls within the first second.
+#[test]
+fn paced_calls_for_the_list_spread_a_hall_that_starts_at_once() {
+    let text = |known: bool, operator: &str| {
+        format!(
+            "kind = \"fleet\"\nabout = \"a start\"\nseconds = 6.0\nnodes = 2\nknown_list = {known}\n\
+             load = {{ rate = 40.0, write_share = 0.3, deadline_ms = 2000, shards = 2 }}\n{operator}"
+        )
+    };
+    let paced = "[operator.list_calls]\nspread_ms = 5000\nbudget = 4\nwindow_ms = 20000\nhold_ms = 20000\n";
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let play = |name: &str, scenario: String| {
+        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = std::fs::remove_dir_all(&folder);
+        let settings = HallSettings {
+            program: env!("CARGO_BIN_EXE_pointcross").into(),
+            folder,
+            schedulers: 12,
+            nodes: 2,
+            node: Default::default(),
+            operator: None,
+            known_list: false,
+            seed: 5,
+        };
+        let verdict = runtime.block_on(rehearse(&Scenario::parse(&scenario).unwrap(), &settings)).unwrap();
+        assert!(verdict.rules_hold(), "{verdict:?}");
+        verdict
+    };
+    let naive = play("fleet-naive", text(false, ""));
+    let spread = play("fleet-paced", text(true, paced));
+    assert!(naive.list_peak_per_s >= 12, "{naive:?}");
+    // Twelve first calls over 5 s: by the seed and the names, no second holds half of them.
+    assert!(spread.list_peak_per_s <= 6 && spread.list_calls <= 14, "{spread:?}");
+    assert_eq!(spread.served, spread.sent);
+}
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -10,6 +10,7 @@
 use pointcross_membership::age::Ages;
 use pointcross_membership::cold::ColdRules;
 use pointcross_membership::decide::Bounds;
+use pointcross_membership::pace::PaceRules;
 use pointcross_net::platform::fits_path;
 use pointcross_settings::{Parsed, SettingsTextError};
 use serde::Deserialize;
@@ -50,6 +51,17 @@
     pub otlp: Option<OtlpConfig>,
     /// How far the node list is trusted, where the operator's file says.
     pub membership: Option<MembershipConfig>,
+    /// The pace of calls for the list, where the operator's file sets one (`[list_calls]`).
+    pub list_calls: Option<ListCalls>,
+}
+
+/// `[list_calls]`: how calls for the list are spaced, so that a hall of schedulers spares the list service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ListCalls {
+    /// The pace's rules.
+    pub rules: PaceRules,
+    /// How long a watch that hears nothing is held.
+    pub hold: Duration,
 }
 
 /// What counts where a variable and a file state the same key.
@@ -189,6 +201,61 @@
     nbd: Option<OperatorNbd>,
     otlp: Option<OperatorOtlp>,
     membership: Option<OperatorMembership>,
+    list_calls: Option<OperatorListCalls>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct OperatorListCalls {
+    spread_ms: f64,
+    base_ms: f64,
+    cap_ms: f64,
+    budget: usize,
+    window_ms: f64,
+    hold_ms: u64,
+}
+
+impl Default for OperatorListCalls {
+    fn default() -> Self {
+        let rules = PaceRules::default();
+        OperatorListCalls {
+            spread_ms: rules.spread_ms,
+            base_ms: rules.base_ms,
+            cap_ms: rules.cap_ms,
+            budget: rules.budget,
+            window_ms: rules.window_ms,
+            hold_ms: 4000,
+        }
+    }
+}
+
+impl OperatorListCalls {
+    fn check(self, faults: &mut Faults) -> ListCalls {
+        const HOUR: f64 = 3_600_000.0;
+        for (key, value) in [
+            ("list_calls.spread_ms", self.spread_ms),
+            ("list_calls.base_ms", self.base_ms),
+            ("list_calls.cap_ms", self.cap_ms),
+            ("list_calls.window_ms", self.window_ms),
+        ] {
+            faults.want(
+                (0.0..=HOUR).contains(&value),
+                key,
+                format!("{value}: wanted 0 to {HOUR} milliseconds"),
+            );
+        }
+        faults.want(self.budget > 0, "list_calls.budget", "0: no call at all");
+        let hold = (100..=60_000).contains(&self.hold_ms);
+        faults.want(hold, "list_calls.hold_ms", format!("{}: wanted 100 to 60000", self.hold_ms));
+        let rules = PaceRules {
+            spread_ms: self.spread_ms,
+            base_ms: self.base_ms,
+            cap_ms: self.cap_ms,
+            budget: self.budget,
+            window_ms: self.window_ms,
+        };
+        ListCalls { rules, hold: Duration::from_millis(self.hold_ms) }
+    }
 }
 
 #[derive(Deserialize)]
@@ -486,6 +553,7 @@
                     == new.membership.as_ref().map(MembershipConfig::lasting),
             ),
             ("name", self.name == new.name),
+            ("list_calls", self.list_calls == new.list_calls),
             ("nbd", self.nbd == new.nbd),
             ("otlp", self.otlp == new.otlp),
         ];
@@ -534,8 +602,9 @@
         };
         let operator: Option<Operator> =
             faults.keep(toml::from_str(operator).map_err(|error| bad(OPERATOR_FILE, error)));
-        let (nbd, otlp, membership) =
-            operator.map_or((None, None, None), |of| (of.nbd, of.otlp, of.membership));
+        let (nbd, otlp, membership, list_calls) =
+            operator.map_or((None, None, None, None), |of| (of.nbd, of.otlp, of.membership, of.list_calls));
+        let list_calls = list_calls.map(|calls| calls.check(&mut faults));
         let membership = match (membership, &parsed) {
             (Some(membership), Some(parsed)) => {
                 Some(membership.check(parsed, seed.unwrap_or(0), &mut faults))
@@ -563,6 +632,7 @@
                     nbd,
                     otlp,
                     membership,
+                    list_calls,
                 })
             }
             _ => Err(faults),
--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -7,6 +7,7 @@
 use pointcross_core::decide::{ListKind, NodeState};
 use pointcross_core::{Core, Member};
 use pointcross_membership::drive::Vetted;
+use pointcross_membership::pace::{Call as Kind, Pacer};
 use serde::Deserialize;
 use std::future::pending;
 use std::net::SocketAddr;
@@ -131,20 +132,30 @@
     client: Client<HttpConnector, Empty<Bytes>>,
     address: SocketAddr,
     zones: Vec<String>,
+    hold: Duration,
+}
+
+/// The pace of calls, where the operator's file sets one: its decisions, and how long a watch is held.
+pub struct Pace {
+    /// When each call may go.
+    pub pacer: Pacer,
+    /// How long a watch that hears nothing is held.
+    pub hold: Duration,
 }
 
 impl Caller {
-    fn new(zones: &[String], address: SocketAddr) -> Self {
+    fn new(zones: &[String], address: SocketAddr, hold: Duration) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(PATIENCE));
         let client = Client::builder(TokioExecutor::new()).pool_timer(TokioTimer::new()).build(connector);
-        Caller { client, address, zones: zones.to_vec() }
+        Caller { client, address, zones: zones.to_vec(), hold }
     }
 
     /// Asks for what is newer than a version, or for the whole list, which is told without waiting.
     fn call(&self, from: Option<u64>) -> Call {
-        let query = from.map(|from| format!("?from={from}&hold_ms={}", HOLD.as_millis())).unwrap_or_default();
+        let query =
+            from.map(|from| format!("?from={from}&hold_ms={}", self.hold.as_millis())).unwrap_or_default();
         let uri = http::Uri::builder()
             .scheme("http")
             .authority(self.address.to_string())
@@ -162,7 +173,7 @@
             let body = body.collect().await.map_err(CallError::Body)?.to_bytes();
             Ok(List::parse(&body, &zones)?)
         };
-        let patience = if from.is_some() { HOLD + LATE } else { PATIENCE };
+        let patience = if from.is_some() { self.hold + LATE } else { PATIENCE };
         Box::pin(
             async move { tokio::time::timeout(patience, answer).await.unwrap_or(Err(CallError::Silent)) },
         )
@@ -175,7 +186,7 @@
 /// When `place` changes, the new address is asked for the whole list (its versions may be others), and the
 /// watch at the old one goes on until that list has come. What the module knows of nodes stays. `zones` are the
 /// zones' names by number, `known` the list that the core was told at its start. Where `vetted` decides on
-/// membership, lists go there.
+/// membership, lists go there. Where `pace` is set, each call at the first place waits as long as it says.
 pub async fn follow(
     core: &Core,
     zones: &[String],
@@ -183,8 +194,13 @@
     orders: &mut watch::Receiver<bool>,
     place: &mut watch::Receiver<SocketAddr>,
     vetted: Option<&Vetted>,
+    mut pace: Option<Pace>,
 ) {
-    let mut caller = Caller::new(zones, *place.borrow_and_update());
+    let hold = pace.as_ref().map_or(HOLD, |pace| pace.hold);
+    let mut caller = Caller::new(zones, *place.borrow_and_update(), hold);
+    // A call that the pace holds back, and what it is.
+    let mut due: Option<tokio::time::Instant> = None;
+    let mut next_call = Kind::First;
     // A version to start from is had only where a whole list came with it.
     let mut revision = known.complete.then_some(known.revision).filter(|_| vetted.is_none());
     let mut watching: Option<Call> = None;
@@ -199,12 +215,25 @@
                 if *orders.borrow_and_update() {
                     match &mut successor {
                         Some((next, call)) => _ = call.get_or_insert_with(|| next.call(None)),
-                        None => _ = watching.get_or_insert_with(|| caller.call(revision)),
+                        None if watching.is_none() && due.is_none() => {
+                            match paced(&mut pace, core.now(), next_call) {
+                                Some(at) => due = Some(at),
+                                None => watching = Some(caller.call(revision)),
+                            }
+                        }
+                        None => {}
                     }
                 }
             }
+            () = or_sleep(due), if due.is_some() => {
+                due = None;
+                if let Some(pace) = &mut pace {
+                    pace.pacer.sent(core.now());
+                }
+                watching = Some(caller.call(revision));
+            }
             Ok(()) = place.changed() => {
-                let next = Caller::new(zones, *place.borrow_and_update());
+                let next = Caller::new(zones, *place.borrow_and_update(), hold);
                 let call = Some(next.call(None));
                 successor = Some((next, call));
             }
@@ -230,11 +259,25 @@
                 // Each call follows the last answer at once, well within the 200 ms that keep a watch alive.
                 Ok(list) => {
                     revision = tell(core, vetted, list);
+                    if let Some(pace) = &mut pace {
+                        pace.pacer.answered();
+                    }
+                    next_call = Kind::Next;
                     // A list that was not taken is asked for again when the module says so.
-                    watching = (revision.is_some() || vetted.is_none()).then(|| caller.call(revision));
+                    watching = None;
+                    if revision.is_some() || vetted.is_none() {
+                        match paced(&mut pace, core.now(), Kind::Next) {
+                            Some(at) => due = Some(at),
+                            None => watching = Some(caller.call(revision)),
+                        }
+                    }
                 }
                 Err(error) => {
                     watching = None;
+                    if let Some(pace) = &mut pace {
+                        pace.pacer.failed();
+                    }
+                    next_call = Kind::Again;
                     tracing::warn!(%error, "discovery");
                     core.list(ListKind::Failed, Vec::new());
                 }
@@ -259,3 +302,21 @@
         None => pending().await,
     }
 }
+
+/// Where the pace holds a call back: until when. Where it lets it go now, notes it as sent.
+fn paced(pace: &mut Option<Pace>, now: f64, call: Kind) -> Option<tokio::time::Instant> {
+    let pace = pace.as_mut()?;
+    let at = pace.pacer.earliest(now, call);
+    if at <= now {
+        pace.pacer.sent(now);
+        return None;
+    }
+    Some(tokio::time::Instant::now() + Duration::from_secs_f64((at - now) / 1000.0))
+}
+
+async fn or_sleep(due: Option<tokio::time::Instant>) {
+    match due {
+        Some(due) => tokio::time::sleep_until(due).await,
+        None => pending().await,
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 use pointcross_core::decide::{ListKind, SettingsError};
 use pointcross_membership::decide::Effects;
 use pointcross_membership::drive::Vetted;
+use pointcross_membership::pace::Pacer;
 use reload::Reload;
 use shutdown::Shutdown;
 use std::io;
@@ -229,7 +230,13 @@
             }
         };
         let (zones, known) = (&config.parsed.zones, &config.known);
-        let following = discovery::follow(&core, zones, known, &mut follow, &mut place, vetted.as_deref());
+        let pace = config.list_calls.map(|calls| {
+            let holds = !known.members.is_empty();
+            let pacer = Pacer::new(calls.rules, config.seed, &config.name, core.now(), holds);
+            discovery::Pace { pacer, hold: calls.hold }
+        });
+        let following =
+            discovery::follow(&core, zones, known, &mut follow, &mut place, vetted.as_deref(), pace);
         tokio::select! {
             () = core.run_timers() => {}
             () = following => {}
--- a/fleet/src/scenario.rs
+++ b/fleet/src/scenario.rs
@@ -30,6 +30,9 @@
     /// Whether schedulers start with a saved list.
     #[serde(default)]
     pub known_list: bool,
+    /// The schedulers' operator's file, as a table; none where it is left out.
+    #[serde(default)]
+    pub operator: Option<toml::Table>,
     /// What happens, in order of time.
     #[serde(default, rename = "event")]
     pub events: Vec<Event>,
@@ -227,16 +230,24 @@
     }
 }
 
+/// The scenario as the program stood before what it rehearses: no saved list and no operator's file.
+pub fn naive(scenario: &Scenario) -> Scenario {
+    Scenario { known_list: false, operator: None, ..scenario.clone() }
+}
+
 /// Sets a hall up for the scenario, starts every scheduler at once, sends and plays the events side by side,
 /// stops the hall and gives the verdict.
 pub async fn rehearse(
     scenario: &Scenario,
     settings: &crate::hall::HallSettings,
 ) -> Result<crate::ledger::Verdict, crate::process::StartError> {
+    let operator =
+        scenario.operator.as_ref().map(toml::Table::to_string).or_else(|| settings.operator.clone());
     let settings = crate::hall::HallSettings {
         nodes: scenario.nodes,
         node: scenario.node.clone(),
         known_list: scenario.known_list || settings.known_list,
+        operator,
         ..settings.clone()
     };
     let file = |error| crate::process::StartError::File { path: settings.folder.clone(), error };
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`decide`] merges the sources (the platform's known list, a snapshot on disk, discovery, what attempts
 //! showed), and says what may be sent to a node that nobody has told of; [`age`] weighs a saved list, [`cold`]
-//! bounds what all schedulers together send a node that may have just started. None of these does I/O or knows
+//! bounds what all schedulers together send a node that may have just started, [`pace`] spaces the calls for
+//! the list. None of these does I/O or knows
 //! a clock. [`snapshot`] is the file, [`drive`] the seam to the core.
 #![warn(missing_docs)]
 
@@ -10,4 +11,5 @@
 pub mod cold;
 pub mod decide;
 pub mod drive;
+pub mod pace;
 pub mod snapshot;
