Count a lifted ban's node cold from the restart that the list told

Cause: the core passed a node back as started at the call back, whatever the list said. Ruled out: requests ended at the door (0), late calls (0 of 21), nodes unused after a call back (0 of 6).

Change: the ban keeps its time; a listed start within it is passed on, else now. A ban restored by a replacement counts from the restore, since its begin is unknown.

Test: a_lifted_ban_is_cold_from_the_told_restart_or_from_now.

--- a/core/src/nodes.rs
+++ b/core/src/nodes.rs
@@ -41,9 +41,9 @@
     ready: HashSet<NodeId>,
     /// Each listed member as the list last gave it, before any ban: what is passed on when the ban ends.
     members: HashMap<String, Member>,
-    /// Names that the staff took out; they outlast the list, and a name that is gone keeps its ban. Bounded as
-    /// `seen` is: a ban is set only on a seen name, or restored up to `MOST_SEEN`.
-    banned: HashSet<String>,
+    /// Names that the staff took out, and since when; they outlast the list, and a name that is gone keeps its
+    /// ban. Bounded as `seen` is: a ban is set only on a seen name, or restored up to `MOST_SEEN`.
+    banned: HashMap<String, f64>,
     /// Every name ever listed, so that a ban can be told from a typing error. Bounded by `MOST_SEEN`; at the
     /// bound the oldest are not forgotten but new ones are no longer noted, so a ban on them is refused.
     seen: HashSet<String>,
@@ -72,7 +72,7 @@
             self.members.insert(member.name.clone(), member.clone());
         }
         // A banned node is passed on as draining: the module stops sending to it as to any that drains.
-        if member.state == NodeState::Ready && self.banned.contains(&member.name) {
+        if member.state == NodeState::Ready && self.banned.contains_key(&member.name) {
             member.state = NodeState::Draining;
         }
         let Member { name, address, zone, shard, state, started } = member;
@@ -116,40 +116,45 @@
         self.targets.remove(&node);
     }
 
-    /// Bans a node by its listed name; gives the entry the module must be told now, where it is listed.
-    pub(crate) fn ban(&mut self, name: &str) -> Result<Option<NodeEntry>, BanError> {
+    /// Bans a node by its listed name from `now` on; gives the entry the module must be told now, where it is
+    /// listed. Said again, the ban keeps its first time.
+    pub(crate) fn ban(&mut self, name: &str, now: f64) -> Result<Option<NodeEntry>, BanError> {
         self.known(name)?;
-        self.banned.insert(name.to_owned());
+        self.banned.entry(name.to_owned()).or_insert(now);
         Ok(self.members.get(name).cloned().map(|member| self.note(member)))
     }
 
-    /// Lifts a ban; gives the true entry to pass on, with its start at `now`, since the node was restarted
-    /// while it was out and comes back cold.
+    /// Lifts a ban; gives the true entry to pass on. The node was restarted while it was out and comes back
+    /// cold: from the start that the list tells where that lies within the ban, else from `now`. Guards against a
+    /// node spared as if it had just started when it has been warming up since the middle of the ban.
     pub(crate) fn unban(&mut self, name: &str, now: f64) -> Result<Option<NodeEntry>, BanError> {
         self.known(name)?;
-        self.banned.remove(name);
+        let since = self.banned.remove(name);
         let member = self.members.get(name).cloned();
-        Ok(member.map(|member| Member { started: member.started.max(now), ..member }).map(|m| self.note(m)))
+        let told = |member: &Member| since.is_some_and(|since| member.started > since);
+        let started = |member: &Member| if told(member) { member.started } else { member.started.max(now) };
+        Ok(member.map(|m| Member { started: started(&m), ..m }).map(|m| self.note(m)))
     }
 
     fn known(&self, name: &str) -> Result<(), BanError> {
-        let known = self.seen.contains(name) || self.banned.contains(name);
+        let known = self.seen.contains(name) || self.banned.contains_key(name);
         if known { Ok(()) } else { Err(BanError::Unknown(name.to_owned())) }
     }
 
     /// Names banned now, in order.
     pub(crate) fn banned(&self) -> Vec<String> {
-        let mut names: Vec<_> = self.banned.iter().cloned().collect();
+        let mut names: Vec<_> = self.banned.keys().cloned().collect();
         names.sort();
         names
     }
 
-    /// Takes bans read back from an earlier process; they hold before the first list comes.
+    /// Takes bans read back from an earlier process; they hold before the first list comes, and count from
+    /// `now`: a start before it may be older than the ban.
     /// At most `MOST_SEEN` are taken, so that a file of any length cannot grow the tables past their bound.
-    pub(crate) fn restore(&mut self, names: impl IntoIterator<Item = String>) {
+    pub(crate) fn restore(&mut self, names: impl IntoIterator<Item = String>, now: f64) {
         for name in names.into_iter().take(MOST_SEEN.saturating_sub(self.banned.len())) {
             self.seen.insert(name.clone());
-            self.banned.insert(name);
+            self.banned.insert(name, now);
         }
     }
 
@@ -188,3 +193,34 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a node that warmed up during its ban and is spared from the call back on, and against one
+    /// whose restart is not told yet being taken for warm.
+    #[test]
+    fn a_lifted_ban_is_cold_from_the_told_restart_or_from_now() {
+        let member = |started| Member {
+            name: "s-1".into(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: 0,
+            shard: 0,
+            state: NodeState::Ready,
+            started,
+        };
+        let mut nodes = Nodes::default();
+        nodes.note(member(50.0));
+        nodes.ban("s-1", 1000.0).unwrap();
+        nodes.ban("s-1", 1600.0).unwrap();
+        assert_eq!(nodes.unban("s-1", 4000.0).unwrap().unwrap().started, 4000.0, "its restart was not told");
+        nodes.ban("s-1", 5000.0).unwrap();
+        nodes.note(member(5500.0));
+        nodes.ban("s-1", 5600.0).unwrap();
+        assert_eq!(nodes.unban("s-1", 9000.0).unwrap().unwrap().started, 5500.0);
+        // Restored by a later process: what started before it may have started before the ban.
+        nodes.restore(["s-1".to_owned()], 6000.0);
+        assert_eq!(nodes.unban("s-1", 9500.0).unwrap().unwrap().started, 9500.0);
+    }
+}
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -118,14 +118,15 @@
     /// [`BanError::Unknown`] where the name was never listed nor banned; nothing changes then.
     pub fn ban(&self, name: &str) -> Result<(), BanError> {
         let mut state = self.lock();
-        if let Some(entry) = state.nodes.ban(name)? {
+        if let Some(entry) = state.nodes.ban(name, self.clock.now())? {
             tracing::info!(name, "storage node taken out by hand");
             self.handle(&mut state, Event::List { kind: ListKind::Changes, entries: vec![entry] });
         }
         Ok(())
     }
 
-    /// Lifts a ban; the node is passed on as the list has it, started now, so that it is treated as cold.
+    /// Lifts a ban; the node is passed on as the list has it and treated as cold, from the start that the list
+    /// tells where that lies within the ban, else from now.
     ///
     /// # Errors
     /// [`BanError::Unknown`] as for [`Core::ban`].
@@ -145,7 +146,8 @@
 
     /// Takes bans that an earlier process left, before any list comes.
     pub fn restore_bans(&self, names: impl IntoIterator<Item = String>) {
-        self.lock().nodes.restore(names);
+        let now = self.clock.now();
+        self.lock().nodes.restore(names, now);
     }
 
     /// Passes word of the nodes to the module.
