Ramp what a fresh scheduler sends each node; plot a fleet run's calls, answers and queues

Need: a hall of schedulers that starts at once pushes cold nodes past their queues, since each one's forecast is empty and admits everything.

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -3,7 +3,7 @@
 use clap::{Args, Subcommand};
 use pointcross_lab::experiment::{bisect, experiment, variant};
 use pointcross_lab::load::{Load, Measured, Scheduler, instant_nodes, load};
-use pointcross_lab::report::html;
+use pointcross_lab::report::{Lived, fleet_html, html};
 use pointcross_lab::script::Script;
 use pointcross_lab::virtual_time::{Outcome, play};
 use serde_json::json;
@@ -48,6 +48,9 @@
     /// Where the schedulers' folders and logs go; a fresh one under the system's temporary folder if left out
     #[arg(long)]
     folder: Option<PathBuf>,
+    /// Write a report, one HTML page, to this file
+    #[arg(long)]
+    report: Option<PathBuf>,
     /// Play the scenario alone, without the naive run beside it (no saved list, no operator's file)
     #[arg(long)]
     no_naive: bool,
@@ -362,7 +365,7 @@
             seed: self.seed,
         };
         let begun = Instant::now();
-        let verdict = rehearse(&scenario, &settings).await.map_err(|error| error.to_string())?;
+        let (verdict, series) = rehearse(&scenario, &settings).await.map_err(|error| error.to_string())?;
         let mut told = serde_json::to_value(&verdict).map_err(|error| error.to_string())?;
         let mut holds = verdict.rules_hold();
         if !self.no_naive {
@@ -374,7 +377,7 @@
                 ..settings.clone()
             };
             let naive = rehearse(&pointcross_fleet::scenario::naive(&scenario), &plain).await;
-            let naive = naive.map_err(|error| error.to_string())?;
+            let (naive, _) = naive.map_err(|error| error.to_string())?;
             holds &= naive.rules_hold();
             let naive = serde_json::to_value(&naive).map_err(|error| error.to_string())?;
             for (key, value) in naive.as_object().into_iter().flatten() {
@@ -384,6 +387,12 @@
             }
         }
         told["wall_s"] = json!(begun.elapsed().as_secs_f64());
+        told["answers_by_second"] = json!(series.answers);
+        if let Some(file) = &self.report {
+            let page = fleet_page(&scenario.about, &told, &series);
+            let page = page.map_err(|error| format!("--report: {error}"))?;
+            std::fs::write(file, page).map_err(|error| format!("--report: {}: {error}", file.display()))?;
+        }
         if self.json {
             println!("{told}");
         } else {
@@ -394,3 +403,14 @@
         Ok(if holds { 0 } else { BROKEN })
     }
 }
+
+fn fleet_page(
+    about: &str,
+    told: &serde_json::Value,
+    series: &pointcross_fleet::ledger::Series,
+) -> Result<String, String> {
+    let figures: Vec<(String, String)> =
+        told.as_object().into_iter().flatten().map(|(key, value)| (key.clone(), value.to_string())).collect();
+    let lived = Lived { list_calls: &series.list_calls, answers: &series.answers, held: &series.held };
+    fleet_html(about, &figures, &lived).map_err(|error| error.to_string())
+}
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -62,7 +62,7 @@
         seed: 1311,
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    let verdict = runtime.block_on(rehearse(&scenario, &settings)).unwrap();
+    let (verdict, _) = runtime.block_on(rehearse(&scenario, &settings)).unwrap();
     assert!(verdict.rules_hold(), "{verdict:?}");
     assert!(verdict.sent > 1000 && verdict.served_share > 0.7, "{verdict:?}");
 }
@@ -93,7 +93,8 @@
             known_list: false,
             seed: 5,
         };
-        let verdict = runtime.block_on(rehearse(&Scenario::parse(&scenario).unwrap(), &settings)).unwrap();
+        let (verdict, _) =
+            runtime.block_on(rehearse(&Scenario::parse(&scenario).unwrap(), &settings)).unwrap();
         assert!(verdict.rules_hold(), "{verdict:?}");
         verdict
     };
--- a/core/src/guard.rs
+++ b/core/src/guard.rs
@@ -1,9 +1,9 @@
 //! The seam for what knows how far the node list is to be trusted: asked before a request goes to the module,
 //! told of every attempt's end. The module still decides all that it is asked.
 
-use crate::nodes::Target;
+use crate::nodes::{Member, Target};
 use crate::serve::NewRequest;
-use pointcross_decide::Outcome;
+use pointcross_decide::{ListKind, Outcome};
 use std::time::Duration;
 
 /// Whether a request may go to the module.
@@ -28,6 +28,10 @@
 
 /// Stands before the module.
 pub trait Guard: Send + Sync {
+    /// The module is about to be told of these entries of the list. Called under the core's lock: it must not call
+    /// the core.
+    fn listed(&self, _now: f64, _kind: ListKind, _members: &[Member]) {}
+
     /// Whether a request may go to the module. `now` is Unix time in milliseconds, as in every call.
     fn admit(&self, now: f64, request: &NewRequest) -> Admission;
 
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -153,6 +153,9 @@
     /// Passes word of the nodes to the module.
     pub fn list(&self, kind: ListKind, members: Vec<Member>) {
         let mut state = self.lock();
+        if let Some(guard) = &self.guard {
+            guard.listed(self.clock.now(), kind, &members);
+        }
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             state.nodes.keep_only(&members);
         }
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -11,6 +11,7 @@
 use pointcross_membership::cold::ColdRules;
 use pointcross_membership::decide::Bounds;
 use pointcross_membership::pace::PaceRules;
+use pointcross_membership::ramp::RampRules;
 use pointcross_net::platform::fits_path;
 use pointcross_settings::{Parsed, SettingsTextError};
 use serde::Deserialize;
@@ -53,6 +54,8 @@
     pub membership: Option<MembershipConfig>,
     /// The pace of calls for the list, where the operator's file sets one (`[list_calls]`).
     pub list_calls: Option<ListCalls>,
+    /// How fast a fresh scheduler sends to each node, where the operator's file says (`[ramp]`).
+    pub ramp: Option<RampRules>,
 }
 
 /// `[list_calls]`: how calls for the list are spaced, so that a hall of schedulers spares the list service.
@@ -202,6 +205,51 @@
     otlp: Option<OperatorOtlp>,
     membership: Option<OperatorMembership>,
     list_calls: Option<OperatorListCalls>,
+    ramp: Option<OperatorRamp>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorRamp {
+    cold_rate: f64,
+    #[serde(default = "OperatorRamp::fast")]
+    fast_ms: f64,
+    #[serde(default = "OperatorRamp::slow")]
+    slow_ms: f64,
+    #[serde(default = "OperatorRamp::grow")]
+    grow: f64,
+    #[serde(default = "OperatorRamp::release")]
+    release: f64,
+}
+
+impl OperatorRamp {
+    fn fast() -> f64 {
+        RampRules::default().fast_ms
+    }
+    fn slow() -> f64 {
+        RampRules::default().slow_ms
+    }
+    fn grow() -> f64 {
+        RampRules::default().grow
+    }
+    fn release() -> f64 {
+        RampRules::default().release
+    }
+
+    fn check(self, faults: &mut Faults) -> RampRules {
+        let OperatorRamp { cold_rate, fast_ms, slow_ms, grow, release } = self;
+        for (key, value, from, to, unit) in [
+            ("ramp.cold_rate", cold_rate, 0.1, 1e6, "requests a second"),
+            ("ramp.fast_ms", fast_ms, 0.1, 6e4, "milliseconds"),
+            ("ramp.slow_ms", slow_ms, fast_ms, 6e4, "milliseconds, no less than fast_ms"),
+            ("ramp.grow", grow, 1.01, 10.0, "times"),
+            ("ramp.release", release, 1.0, 1e4, "times"),
+        ] {
+            let wanted = format!("{value}: wanted {from} to {to} {unit}");
+            faults.want((from..=to).contains(&value), key, wanted);
+        }
+        RampRules { cold_rate, fast_ms, slow_ms, grow, release }
+    }
 }
 
 #[derive(Deserialize)]
@@ -556,6 +604,7 @@
             ("list_calls", self.list_calls == new.list_calls),
             ("nbd", self.nbd == new.nbd),
             ("otlp", self.otlp == new.otlp),
+            ("ramp", self.ramp == new.ramp),
         ];
         same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
     }
@@ -602,8 +651,11 @@
         };
         let operator: Option<Operator> =
             faults.keep(toml::from_str(operator).map_err(|error| bad(OPERATOR_FILE, error)));
-        let (nbd, otlp, membership, list_calls) =
-            operator.map_or((None, None, None, None), |of| (of.nbd, of.otlp, of.membership, of.list_calls));
+        let (nbd, otlp, membership, list_calls, ramp) = operator
+            .map_or((None, None, None, None, None), |of| {
+                (of.nbd, of.otlp, of.membership, of.list_calls, of.ramp)
+            });
+        let ramp = ramp.map(|ramp| ramp.check(&mut faults));
         let list_calls = list_calls.map(|calls| calls.check(&mut faults));
         let membership = match (membership, &parsed) {
             (Some(membership), Some(parsed)) => {
@@ -633,6 +685,7 @@
                     otlp,
                     membership,
                     list_calls,
+                    ramp,
                 })
             }
             _ => Err(faults),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -17,11 +17,13 @@
 pub mod telemetry;
 
 use config::Config;
-use pointcross_core::Core;
 use pointcross_core::decide::{ListKind, SettingsError};
+use pointcross_core::{Core, Guard};
 use pointcross_membership::decide::Effects;
 use pointcross_membership::drive::Vetted;
 use pointcross_membership::pace::Pacer;
+use pointcross_membership::ramp::Ramp;
+use pointcross_membership::ramped::Ramped;
 use reload::Reload;
 use shutdown::Shutdown;
 use std::io;
@@ -107,14 +109,23 @@
         let core = Core::new(config.parsed.decide.clone(), config.seed)?;
         let vetted =
             config.membership.as_ref().map(|settings| membership::begin(settings, &config, core.now()));
-        let core = match &vetted {
-            None => Arc::new(core),
-            Some((vetted, _)) => {
-                let core = Arc::new(core.guarded(vetted.clone()));
-                vetted.attach(&core);
-                core
+        let vet = vetted.as_ref().map(|(vetted, _)| vetted.clone());
+        let before = vet.clone().map(|vetted| vetted as Arc<dyn Guard>);
+        let guard = match config.ramp {
+            Some(rules) => {
+                let hosts = config.parsed.decide.hosts;
+                let ramp = Ramp::new(rules, hosts, config.seed, &config.name);
+                Some(Ramped::new(ramp, before) as Arc<dyn Guard>)
             }
+            None => before,
         };
+        let core = Arc::new(match guard {
+            Some(guard) => core.guarded(guard),
+            None => core,
+        });
+        if let Some(vetted) = vet {
+            vetted.attach(&core);
+        }
         let store = Arc::new(store::Store::new(config.store_settings()));
         let telemetry = match &config.otlp {
             None => Telemetry::default(),
--- a/fleet/src/client.rs
+++ b/fleet/src/client.rs
@@ -49,6 +49,35 @@
     pub failed: AtomicU64,
     /// No final answer in time from a scheduler that was not killed meanwhile.
     pub unanswered: AtomicU64,
+    /// The same by the second in which they were sent: served, refused, failed, unanswered. Bounded by the run's
+    /// length, an hour at the most.
+    pub seconds: Mutex<Vec<[u32; 4]>>,
+}
+
+/// How a request ended, as the clients count it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    Served,
+    Refused,
+    Failed,
+    Unanswered,
+}
+
+impl Outcomes {
+    fn count(&self, second: usize, ended: Ended) {
+        let counter = match ended {
+            Ended::Served => &self.served,
+            Ended::Refused => &self.refused,
+            Ended::Failed => &self.failed,
+            Ended::Unanswered => &self.unanswered,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let mut seconds = self.seconds.lock().unwrap();
+        if seconds.len() <= second {
+            seconds.resize(second + 1, [0; 4]);
+        }
+        seconds[second][ended as usize] += 1;
+    }
 }
 
 /// Kept connections to each scheduler; bounded by the requests in flight, since one is kept only after its answer.
@@ -91,15 +120,18 @@
             let due = begun + gap.mul_f64(number as f64);
             tokio::time::sleep_until(due).await;
             let (clients, fleet) = (self.clone(), fleet.clone());
-            tasks.spawn(async move { clients.one(fleet, seed, number).await });
+            let second = (due - begun).as_secs() as usize;
+            tasks.spawn(async move {
+                clients.outcomes.sent.fetch_add(1, Ordering::Relaxed);
+                let ended = clients.one(fleet, seed, number).await;
+                clients.outcomes.count(second, ended);
+            });
             while tasks.try_join_next().is_some() {}
         }
         while tasks.join_next().await.is_some() {}
     }
 
-    async fn one(&self, fleet: Arc<dyn Fleet>, seed: u64, number: u64) {
-        let outcomes = &self.outcomes;
-        outcomes.sent.fetch_add(1, Ordering::Relaxed);
+    async fn one(&self, fleet: Arc<dyn Fleet>, seed: u64, number: u64) -> Ended {
         let mixed = splitmix(seed ^ number);
         let writes = (mixed % 1000) as f64 / 1000.0 < self.settings.write_share;
         let shard = ((mixed >> 20) % u64::from(self.settings.shards.max(1))) as u32;
@@ -114,24 +146,19 @@
                 tokio::time::timeout_at(deadline + Duration::from_millis(500), self.send(address, request));
             match answered.await {
                 Ok(Ok(status)) => {
-                    let counter = match status {
-                        200 => &outcomes.served,
-                        429 | 503 => &outcomes.refused,
-                        _ => &outcomes.failed,
+                    return match status {
+                        200 => Ended::Served,
+                        429 | 503 => Ended::Refused,
+                        _ => Ended::Failed,
                     };
-                    counter.fetch_add(1, Ordering::Relaxed);
-                    return;
                 }
                 // The request never went out: it goes on to the next scheduler, a write too.
                 Ok(Err(Sent::Never)) => continue,
-                _ if fleet.kills(i) != kills => {
-                    outcomes.failed.fetch_add(1, Ordering::Relaxed);
-                    return;
-                }
+                _ if fleet.kills(i) != kills => return Ended::Failed,
                 _ => break,
             }
         }
-        outcomes.unanswered.fetch_add(1, Ordering::Relaxed);
+        Ended::Unanswered
     }
 
     async fn send(&self, address: SocketAddr, request: http::Request<Full<Bytes>>) -> Result<u16, Sent> {
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -52,12 +52,24 @@
         }
     }
 
-    /// Calls in each second, for plots.
-    pub fn per_second(&self) -> Vec<u64> {
-        self.0.chunks(100).map(|chunk| chunk.iter().map(|&calls| u64::from(calls)).sum()).collect()
+    /// Calls in each second from `from` on, for plots.
+    pub fn per_second(&self, from: Duration) -> Vec<u64> {
+        let from = ((from.as_millis() / SLOT.as_millis()) as usize).min(self.0.len());
+        self.0[from..].chunks(100).map(|chunk| chunk.iter().map(|&calls| u64::from(calls)).sum()).collect()
     }
 }
 
+/// How a run went over time, for plots.
+#[derive(Clone, Debug, Default)]
+pub struct Series {
+    /// Calls to the list service in each second from the clients' start.
+    pub list_calls: Vec<u64>,
+    /// Requests by the second in which they were sent: served, refused, failed, unanswered.
+    pub answers: Vec<[u32; 4]>,
+    /// The most requests that each node held in each second, by second and node.
+    pub held: Vec<Vec<u32>>,
+}
+
 /// What a fleet run comes to, from the stand-ins' logs and the clients' own count of answers.
 #[derive(Clone, Debug, Default, Serialize, PartialEq)]
 pub struct Verdict {
@@ -105,7 +117,8 @@
         for ms in 900..1100 {
             slots.note(Duration::from_millis(ms));
         }
-        assert_eq!(slots.per_second(), vec![100, 100]);
+        assert_eq!(slots.per_second(Duration::ZERO), vec![100, 100]);
+        assert_eq!(slots.per_second(Duration::from_secs(1)), vec![100]);
         assert_eq!(slots.peak_per_second(), 200);
         slots.note(Duration::from_secs(3600));
         assert_eq!(slots.total(), 201);
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -142,6 +142,11 @@
         *self.inner.started.lock().unwrap() = Instant::now();
     }
 
+    /// Requests it holds now, running and waiting.
+    pub fn held(&self) -> usize {
+        *self.inner.held.lock().unwrap()
+    }
+
     /// Reads its log.
     pub fn log<R>(&self, read: impl FnOnce(&NodeLog) -> R) -> R {
         read(&self.inner.log.lock().unwrap())
--- a/fleet/src/scenario.rs
+++ b/fleet/src/scenario.rs
@@ -7,6 +7,7 @@
 use crate::list::ListMood;
 use crate::node::{Mood, NodeSettings};
 use serde::Deserialize;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// A scenario as its file gives it.
@@ -235,12 +236,29 @@
     Scenario { known_list: false, operator: None, ..scenario.clone() }
 }
 
+/// Notes, every 50 ms, the most that each node held in each second.
+async fn watch_nodes(nodes: Vec<crate::node::Node>, held: Arc<Mutex<Vec<Vec<u32>>>>) {
+    let begun = tokio::time::Instant::now();
+    let mut every = tokio::time::interval(Duration::from_millis(50));
+    loop {
+        every.tick().await;
+        let mut held = held.lock().unwrap();
+        let second = begun.elapsed().as_secs() as usize;
+        if held.len() <= second {
+            held.resize(second + 1, vec![0; nodes.len()]);
+        }
+        for (most, node) in held[second].iter_mut().zip(&nodes) {
+            *most = (*most).max(node.held() as u32);
+        }
+    }
+}
+
 /// Sets a hall up for the scenario, starts every scheduler at once, sends and plays the events side by side,
 /// stops the hall and gives the verdict.
 pub async fn rehearse(
     scenario: &Scenario,
     settings: &crate::hall::HallSettings,
-) -> Result<crate::ledger::Verdict, crate::process::StartError> {
+) -> Result<(crate::ledger::Verdict, crate::ledger::Series), crate::process::StartError> {
     let operator =
         scenario.operator.as_ref().map(toml::Table::to_string).or_else(|| settings.operator.clone());
     let settings = crate::hall::HallSettings {
@@ -257,12 +275,21 @@
         hall.shut().await;
         return Err(error);
     }
+    // Starting hundreds of processes takes seconds, in which the nodes would warm up: the day begins now.
+    hall.nodes.iter().for_each(crate::node::Node::restart);
     let (clients, fleet) = hall.clients(scenario.load.clone());
     let length = Duration::from_secs_f64(scenario.seconds);
+    let begun = hall.elapsed();
+    let held = Arc::new(Mutex::new(Vec::new()));
+    let watching = tokio::spawn(watch_nodes(hall.nodes.clone(), held.clone()));
     tokio::join!(clients.run(fleet, length, settings.seed), play(scenario, &mut hall, settings.seed));
+    watching.abort();
     let verdict = hall.verdict(&clients);
+    let answers = clients.outcomes.seconds.lock().unwrap().clone();
+    let held = std::mem::take(&mut *held.lock().unwrap());
+    let series = crate::ledger::Series { list_calls: hall.list.calls().per_second(begun), answers, held };
     hall.shut().await;
-    Ok(verdict)
+    Ok((verdict, series))
 }
 
 #[cfg(test)]
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -53,9 +53,9 @@
     Ok(svg)
 }
 
-fn over_time(outcome: &Outcome) -> Result<String, Box<dyn Error>> {
+fn over_time(seconds: &[[u32; 4]]) -> Result<String, Box<dyn Error>> {
     let mut svg = String::new();
-    let most = outcome.seconds.iter().map(|counts| counts.iter().sum::<u32>()).max().unwrap_or(1).max(1);
+    let most = seconds.iter().map(|counts| counts.iter().sum::<u32>()).max().unwrap_or(1).max(1);
     {
         let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         root.fill(&WHITE)?;
@@ -64,10 +64,10 @@
             .set_label_area_size(LabelAreaPosition::Bottom, 30)
             .margin_right(20)
             .margin_top(10)
-            .build_cartesian_2d(0.0..outcome.seconds.len() as f64, 0..most + most / 10 + 1)?;
+            .build_cartesian_2d(0.0..seconds.len().max(1) as f64, 0..most + most / 10 + 1)?;
         chart.configure_mesh().x_desc("seconds").y_desc("answers a second").light_line_style(WHITE).draw()?;
         // Stacked: served at the bottom, then refused, then failed and lost.
-        for (second, counts) in outcome.seconds.iter().enumerate() {
+        for (second, counts) in seconds.iter().enumerate() {
             let (from, to) = (second as f64 + 0.05, second as f64 + 0.95);
             let mut base = 0;
             for (count, color) in [(counts[0], SERVED), (counts[1], REFUSED), (counts[2] + counts[3], FAILED)]
@@ -83,10 +83,10 @@
 }
 
 /// Jobs in each node over time: a row a node, the darker the more.
-fn inflight(outcome: &Outcome) -> Result<String, Box<dyn Error>> {
+fn inflight(held: &[Vec<u32>]) -> Result<String, Box<dyn Error>> {
     let mut svg = String::new();
-    let nodes = outcome.inflight.first().map_or(0, Vec::len).max(1);
-    let most = outcome.inflight.iter().flatten().copied().max().unwrap_or(1).max(1);
+    let nodes = held.first().map_or(0, Vec::len).max(1);
+    let most = held.iter().flatten().copied().max().unwrap_or(1).max(1);
     {
         let height = (10 * nodes as u32 + 50).max(120);
         let root = SVGBackend::with_string(&mut svg, (SIZE.0, height)).into_drawing_area();
@@ -95,9 +95,9 @@
             .set_label_area_size(LabelAreaPosition::Left, 60)
             .set_label_area_size(LabelAreaPosition::Bottom, 30)
             .margin_right(20)
-            .build_cartesian_2d(0.0..outcome.inflight.len().max(1) as f64, 0.0..nodes as f64)?;
+            .build_cartesian_2d(0.0..held.len().max(1) as f64, 0.0..nodes as f64)?;
         chart.configure_mesh().disable_mesh().x_desc("seconds").y_desc("node").draw()?;
-        for (second, jobs) in outcome.inflight.iter().enumerate() {
+        for (second, jobs) in held.iter().enumerate() {
             let cells = jobs.iter().enumerate().filter(|(_, jobs)| **jobs > 0).map(|(node, &jobs)| {
                 let part = f64::from(jobs) / f64::from(most);
                 let (x, y) = (second as f64, node as f64);
@@ -138,6 +138,72 @@
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
 
+/// How a fleet of real processes lived through a scenario, second by second.
+pub struct Lived<'a> {
+    /// Calls to the list service.
+    pub list_calls: &'a [u64],
+    /// Requests by the second they were sent in: served, refused, failed, unanswered.
+    pub answers: &'a [[u32; 4]],
+    /// The most requests each node held.
+    pub held: &'a [Vec<u32>],
+}
+
+fn calls(list_calls: &[u64]) -> Result<String, Box<dyn Error>> {
+    let mut svg = String::new();
+    let most = list_calls.iter().copied().max().unwrap_or(1).max(1);
+    {
+        let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        root.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&root)
+            .set_label_area_size(LabelAreaPosition::Left, 60)
+            .set_label_area_size(LabelAreaPosition::Bottom, 30)
+            .margin_right(20)
+            .margin_top(10)
+            .build_cartesian_2d(0.0..list_calls.len().max(1) as f64, 0..most + most / 10 + 1)?;
+        chart.configure_mesh().x_desc("seconds").y_desc("calls a second").light_line_style(WHITE).draw()?;
+        let bars = list_calls.iter().enumerate().map(|(second, &calls)| {
+            Rectangle::new([(second as f64 + 0.05, 0), (second as f64 + 0.95, calls)], TROUBLE.filled())
+        });
+        chart.draw_series(bars)?;
+        root.present()?;
+    }
+    Ok(svg)
+}
+
+const STYLE: &str = "body{font:15px sans-serif;max-width:960px;margin:2em auto;color:#222}h2{margin-top:1.6em}\
+     table{border-collapse:collapse;margin:1em 0}td,th{padding:3px 10px;text-align:right;\
+     border-bottom:1px solid #ddd}td:first-child,th:first-child{text-align:left}.kept{color:#2e7d32}\
+     .broken{color:#c62828;font-weight:bold}.key span{padding:0 .5em;color:#fff}svg{max-width:100%}";
+
+const KEY: &str = "<p class=\"key\"><span style=\"background:#2e7d32\">served</span> \
+     <span style=\"background:#ef8c00\">refused</span> <span style=\"background:#c62828\">failed or lost</span></p>";
+
+/// The page of a fleet run: its figures, and the plots of list calls, answers and what nodes held.
+///
+/// # Errors
+///
+/// Where a plot cannot be drawn.
+pub fn fleet_html(
+    about: &str,
+    figures: &[(String, String)],
+    lived: &Lived<'_>,
+) -> Result<String, Box<dyn Error>> {
+    let about = escape(about);
+    let rows: String = figures
+        .iter()
+        .map(|(key, value)| format!("<tr><td>{}</td><td>{}</td></tr>", escape(key), escape(value)))
+        .collect();
+    Ok(format!(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{about}</title><style>{STYLE}</style>\
+         <h1>{about}</h1><h2>Answers, by the second they were asked in</h2>{KEY}{}\
+         <h2>Calls to the list service</h2>{}<h2>The most requests each node held</h2>{}\
+         <h2>Figures</h2><table>{rows}</table></html>\n",
+        over_time(lived.answers)?,
+        calls(lived.list_calls)?,
+        inflight(lived.held)?,
+    ))
+}
+
 /// The page.
 ///
 /// # Errors
@@ -160,16 +226,10 @@
         .collect();
     let title = escape(&outcome.script);
     Ok(format!(
-        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title><style>\
-         body{{font:15px sans-serif;max-width:960px;margin:2em auto;color:#222}}h2{{margin-top:1.6em}}\
-         table{{border-collapse:collapse;margin:1em 0}}td,th{{padding:3px 10px;text-align:right;\
-         border-bottom:1px solid #ddd}}td:first-child,th:first-child{{text-align:left}}.kept{{color:#2e7d32}}\
-         .broken{{color:#c62828;font-weight:bold}}.key span{{padding:0 .5em;color:#fff}}svg{{max-width:100%}}\
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title><style>{STYLE}\
          </style><h1>{title}</h1><p>{} nodes, {} schedulers, {} requests in {:.0} s of virtual time, seed {}. \
          <b>{:.1}%</b> of the worth that was asked for was served in time.</p><ul>{rules}</ul>\
-         <h2>Answers over time</h2><p class=\"key\"><span style=\"background:#2e7d32\">served</span> \
-         <span style=\"background:#ef8c00\">refused</span> <span style=\"background:#c62828\">failed or lost</span>\
-         </p>{}{}<h2>By plan</h2>{}<h2>By class</h2>{}<h2>Jobs in each node</h2>{}\
+         <h2>Answers over time</h2>{KEY}{}{}<h2>By plan</h2>{}<h2>By class</h2>{}<h2>Jobs in each node</h2>{}\
          <p>Ledger {}</p></html>\n",
         outcome.nodes,
         outcome.schedulers,
@@ -177,11 +237,11 @@
         script.site.seconds,
         outcome.seed,
         outcome.served_worth_share * 100.0,
-        over_time(outcome)?,
+        over_time(&outcome.seconds)?,
         troubles(script)?,
         table("plan", &outcome.plans),
         table("class", &outcome.classes),
-        inflight(outcome)?,
+        inflight(&outcome.inflight)?,
         outcome.ledger_hash,
     ))
 }
@@ -209,5 +269,9 @@
         );
         outcome.broken.doubled_writes = 2;
         assert!(html(&script, &outcome).unwrap().contains("class=\"broken\">writes run twice: 2"));
+        let lived =
+            Lived { list_calls: &[9, 1], answers: &[[5, 1, 0, 0], [6, 0, 0, 0]], held: &[vec![1, 2]] };
+        let page = fleet_html("a <start>", &[("crashed".into(), "0".into())], &lived).unwrap();
+        assert_eq!((page.matches("<svg").count(), page.contains("a &lt;start&gt;")), (3, true));
     }
 }
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -3,8 +3,7 @@
 //! [`decide`] merges the sources (the platform's known list, a snapshot on disk, discovery, what attempts
 //! showed), and says what may be sent to a node that nobody has told of; [`age`] weighs a saved list, [`cold`]
 //! bounds what all schedulers together send a node that may have just started, [`pace`] spaces the calls for
-//! the list. None of these does I/O or knows
-//! a clock. [`snapshot`] is the file, [`drive`] the seam to the core.
+//! the list, [`ramp`] the first requests to each node. None of these does I/O or knows a clock. [`snapshot`] is the file, [`drive`] the seam to the core.
 #![warn(missing_docs)]
 
 pub mod age;
@@ -12,4 +11,6 @@
 pub mod decide;
 pub mod drive;
 pub mod pace;
+pub mod ramp;
+pub mod ramped;
 pub mod snapshot;
--- a/membership/src/pace.rs
+++ b/membership/src/pace.rs
@@ -56,7 +56,7 @@
 }
 
 /// Mixes a number into another; neighbouring inputs give unrelated outputs.
-fn mix(mut x: u64) -> u64 {
+pub(crate) fn mix(mut x: u64) -> u64 {
     x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -64,19 +64,23 @@
 }
 
 /// A number in [0, 1) from a draw.
-fn unit(x: u64) -> f64 {
+pub(crate) fn unit(x: u64) -> f64 {
     (x >> 11) as f64 / (1u64 << 53) as f64
 }
 
+/// The first draw of a scheduler: two of one seed draw apart by their names (FNV-1a).
+pub(crate) fn named(seed: u64, name: &str) -> u64 {
+    let hash = name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    });
+    mix(seed ^ hash)
+}
+
 impl Pacer {
     /// The pace of a scheduler started at `started`, named `name`, with this seed; `holds_list` where a saved
     /// or known list lets it serve before its first call.
     pub fn new(rules: PaceRules, seed: u64, name: &str, started: f64, holds_list: bool) -> Self {
-        // FNV-1a over the name, so that two schedulers of one seed draw apart.
-        let named = name.bytes().fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| {
-            (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-        });
-        let draws = mix(seed ^ named);
+        let draws = named(seed, name);
         let offset = unit(draws) * rules.spread_ms.max(0.0);
         let sent = VecDeque::with_capacity(rules.budget.min(1024));
         Pacer { rules, started, offset, holds_list, failures: 0, sent, draws }
--- /dev/null
+++ b/membership/src/ramped.rs
@@ -0,0 +1,102 @@
+//! The ramp as a guard before the core's module, alone or behind another guard. No choice is made here.
+
+use crate::ramp::{Ramp, Shown};
+use pointcross_core::decide::{ListKind, NodeState, Outcome};
+use pointcross_core::{Admission, Guard, Member, NewRequest, Target};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+struct Inner {
+    ramp: Ramp,
+    /// The shard of each listed node, by its id: attempts are told by node. As long as the list.
+    shards: HashMap<String, u32>,
+}
+
+/// A guard that ramps what goes to each node.
+pub struct Ramped {
+    inner: Mutex<Inner>,
+    /// Asked first, where there is one.
+    before: Option<Arc<dyn Guard>>,
+}
+
+impl Ramped {
+    /// This ramp, behind `before`.
+    pub fn new(ramp: Ramp, before: Option<Arc<dyn Guard>>) -> Arc<Self> {
+        Arc::new(Ramped { inner: Mutex::new(Inner { ramp, shards: HashMap::new() }), before })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Guard for Ramped {
+    fn listed(&self, now: f64, kind: ListKind, members: &[Member]) {
+        let mut inner = self.lock();
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            inner.shards.clear();
+        }
+        for member in members {
+            match member.state {
+                NodeState::Gone => {
+                    inner.shards.remove(&member.name);
+                }
+                _ => {
+                    inner.shards.insert(member.name.clone(), member.shard);
+                    inner.ramp.listed(now, member.shard, member.started);
+                }
+            }
+        }
+    }
+
+    fn admit(&self, now: f64, request: &NewRequest) -> Admission {
+        let admission = match &self.before {
+            Some(before) => before.admit(now, request),
+            None => Admission::Plain,
+        };
+        // A new object goes where the module's forecast is least; it is not ramped.
+        let Some(shard) = request.shard else { return admission };
+        if let Admission::Refused { .. } = admission {
+            return admission;
+        }
+        match self.lock().ramp.admit(now, shard) {
+            Ok(()) => admission,
+            Err(wait) => {
+                if let (Some(before), Admission::Counted { node, .. }) = (&self.before, &admission) {
+                    before.over(now, node);
+                }
+                Admission::Refused { retry_after: Duration::from_secs_f64(wait.min(6e4) / 1000.0) }
+            }
+        }
+    }
+
+    fn over(&self, now: f64, node: &str) {
+        if let Some(before) = &self.before {
+            before.over(now, node);
+        }
+    }
+
+    fn ended(
+        &self,
+        now: f64,
+        target: &Target,
+        outcome: Outcome,
+        units: f64,
+        elapsed: f64,
+    ) -> Option<Duration> {
+        let shown = match outcome {
+            Outcome::Served | Outcome::Error => Some(Shown::Answered),
+            Outcome::Full => Some(Shown::TurnedAway),
+            Outcome::NoConnection | Outcome::TimedOut | Outcome::Reset => Some(Shown::Nothing),
+            Outcome::Cancelled | Outcome::NotSent => None,
+        };
+        if let Some(shown) = shown {
+            let mut inner = self.lock();
+            if let Some(&shard) = inner.shards.get(&target.name) {
+                inner.ramp.ended(now, shard, shown, elapsed);
+            }
+        }
+        self.before.as_ref().and_then(|before| before.ended(now, target, outcome, units, elapsed))
+    }
+}
