--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -51,6 +51,9 @@
     /// Write a report, one HTML page, to this file
     #[arg(long)]
     report: Option<PathBuf>,
+    /// Play it in virtual time: no processes, any number of schedulers, no faults on links
+    #[arg(long = "virtual")]
+    virtual_time: bool,
     /// Play the scenario alone, without the naive run beside it (no saved list, no operator's file)
     #[arg(long)]
     no_naive: bool,
@@ -350,6 +353,9 @@
         if self.schedulers == 0 {
             return Err("--schedulers: 0: wanted 1 or more".into());
         }
+        if self.virtual_time {
+            return self.in_virtual_time(&scenario);
+        }
         let operator = self.operator.as_deref().map(text).transpose()?;
         let folder = self
             .folder
@@ -404,6 +410,33 @@
     }
 }
 
+impl FleetRun {
+    fn in_virtual_time(&self, scenario: &pointcross_fleet::scenario::Scenario) -> Result<u8, String> {
+        let begun = Instant::now();
+        let played = |scenario: &_| {
+            let told = pointcross_fleet::virtual_time::play(scenario, self.schedulers, self.seed);
+            told.map_err(|fault| named(&self.scenario, &fault))
+        };
+        let verdict = played(scenario)?;
+        let mut told = serde_json::to_value(&verdict).map_err(|error| error.to_string())?;
+        let mut holds = verdict.rules_hold();
+        if !self.no_naive {
+            let naive = played(&pointcross_fleet::scenario::naive(scenario))?;
+            holds &= naive.rules_hold();
+            let naive = serde_json::to_value(&naive).map_err(|error| error.to_string())?;
+            for (key, value) in naive.as_object().into_iter().flatten() {
+                if key != "schedulers" {
+                    told[format!("naive_{key}")] = value.clone();
+                }
+            }
+        }
+        told["wall_s"] = json!(begun.elapsed().as_secs_f64());
+        told["peak_mb"] = json!(peak_mb());
+        println!("{told}");
+        Ok(if holds { 0 } else { BROKEN })
+    }
+}
+
 fn fleet_page(
     about: &str,
     told: &serde_json::Value,
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -105,3 +105,60 @@
     assert!(spread.list_peak_per_s <= 6 && spread.list_calls <= 14, "{spread:?}");
     assert_eq!(spread.served, spread.sent);
 }
+
+/// Guards against a hall whose fresh schedulers push cold nodes past their queues, at the start and again when every
+/// scheduler is killed and every node starts anew: with `[ramp]` next to nothing is turned away, and without it, same
+/// seed and load, far more.
+#[test]
+fn a_ramped_hall_spares_its_cold_nodes_when_everything_starts_and_starts_again() {
+    let scenario = Scenario::parse(
+        r#"
+        kind = "fleet"
+        about = "twelve schedulers and two cold nodes start; all of them are killed and start again"
+        seconds = 9.0
+        nodes = 2
+        known_list = true
+        node = { queue_limit = 16, workers = 4, unit_ms = 4.0, cold_factor = 12.0, warm_ms = 8000.0 }
+        load = { rate = 360.0, write_share = 0.3, deadline_ms = 2000, shards = 2 }
+        [operator.ramp]
+        cold_rate = 60.0
+        fast_ms = 60.0
+        slow_ms = 120.0
+        double_ms = 3000.0
+        grow = 1.2
+        [[event]]
+        at = 4.5
+        do = "kill"
+        [[event]]
+        at = 4.5
+        do = "restart_nodes"
+        [[event]]
+        at = 4.6
+        do = "restart"
+        "#,
+    )
+    .unwrap();
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let play = |name: &str, scenario: &Scenario| {
+        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        let _ = std::fs::remove_dir_all(&folder);
+        let settings = HallSettings {
+            program: env!("CARGO_BIN_EXE_pointcross").into(),
+            folder,
+            schedulers: 12,
+            nodes: 2,
+            node: Default::default(),
+            operator: None,
+            known_list: false,
+            seed: 1311,
+        };
+        let (verdict, _) = runtime.block_on(rehearse(scenario, &settings)).unwrap();
+        assert!(verdict.rules_hold(), "{verdict:?}");
+        verdict
+    };
+    let ramped = play("fleet-ramped", &scenario);
+    let plain = play("fleet-unramped", &Scenario { operator: None, ..scenario.clone() });
+    println!("{ramped:?}\n{plain:?}");
+    assert!(plain.node_overloads > 50, "{plain:?}");
+    assert!(ramped.node_overloads * 10 < plain.node_overloads, "{ramped:?} against {plain:?}");
+}
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -216,6 +216,8 @@
     fast_ms: f64,
     #[serde(default = "OperatorRamp::slow")]
     slow_ms: f64,
+    #[serde(default = "OperatorRamp::double")]
+    double_ms: f64,
     #[serde(default = "OperatorRamp::grow")]
     grow: f64,
     #[serde(default = "OperatorRamp::release")]
@@ -229,6 +231,9 @@
     fn slow() -> f64 {
         RampRules::default().slow_ms
     }
+    fn double() -> f64 {
+        RampRules::default().double_ms
+    }
     fn grow() -> f64 {
         RampRules::default().grow
     }
@@ -237,18 +242,19 @@
     }
 
     fn check(self, faults: &mut Faults) -> RampRules {
-        let OperatorRamp { cold_rate, fast_ms, slow_ms, grow, release } = self;
+        let OperatorRamp { cold_rate, fast_ms, slow_ms, double_ms, grow, release } = self;
         for (key, value, from, to, unit) in [
             ("ramp.cold_rate", cold_rate, 0.1, 1e6, "requests a second"),
             ("ramp.fast_ms", fast_ms, 0.1, 6e4, "milliseconds"),
             ("ramp.slow_ms", slow_ms, fast_ms, 6e4, "milliseconds, no less than fast_ms"),
-            ("ramp.grow", grow, 1.01, 10.0, "times"),
+            ("ramp.double_ms", double_ms, 10.0, 3.6e6, "milliseconds"),
+            ("ramp.grow", grow, 1.0, 10.0, "times"),
             ("ramp.release", release, 1.0, 1e4, "times"),
         ] {
             let wanted = format!("{value}: wanted {from} to {to} {unit}");
             faults.want((from..=to).contains(&value), key, wanted);
         }
-        RampRules { cold_rate, fast_ms, slow_ms, grow, release }
+        RampRules { cold_rate, fast_ms, slow_ms, double_ms, grow, release }
     }
 }
 
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -80,6 +80,18 @@
         let text = fault(&platform(), &format!("[membership]\n{membership}\n"));
         assert!(text.starts_with(key), "{text}");
     }
+    for (ramp, key) in [
+        ("cold_rate = 0.0", "ramp.cold_rate"),
+        ("cold_rate = 50.0\nfast_ms = 200.0\nslow_ms = 100.0", "ramp.slow_ms"),
+        ("cold_rate = 50.0\ngrow = 0.5", "ramp.grow"),
+        ("cold_rate = 50.0\ndouble_ms = 0.0", "ramp.double_ms"),
+    ] {
+        let text = fault(&platform(), &format!("[ramp]\n{ramp}\n"));
+        assert!(text.starts_with(key), "{text}");
+    }
+    let cold_start = include_str!("../../deploy/fleet-cold-start.toml");
+    let config = Config::from_texts(|_| None, &platform(), cold_start, Wins::Variable).unwrap();
+    assert!(config.ramp.is_some() && config.list_calls.is_some());
     let shipped = include_str!("../../deploy/operator.toml");
     let config = Config::from_texts(|_| None, &platform(), shipped, Wins::Variable).unwrap();
     assert!(config.nbd.is_some());
--- a/fleet/src/client.rs
+++ b/fleet/src/client.rs
@@ -1,7 +1,7 @@
 //! Open-loop clients: requests at their intended times, each to one scheduler, counted by how they ended.
 //!
-//! A request whose connection breaks before any answer goes once more to the next scheduler where it is a read,
-//! as the platform's clients do; a write is never sent again, so that a node's log can tell doubled writes.
+//! A request that never went out (no connection, or hyper gives it back) goes on to the next scheduler; one that went
+//! out is never sent again, so that a node's log can tell doubled writes.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -80,6 +80,9 @@
     }
 }
 
+/// Schedulers that a request which never went out is tried at.
+const MOST_TRIES: usize = 3;
+
 /// Kept connections to each scheduler; bounded by the requests in flight, since one is kept only after its answer.
 #[derive(Default)]
 struct Pool(Mutex<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>);
@@ -137,7 +140,8 @@
         let shard = ((mixed >> 20) % u64::from(self.settings.shards.max(1))) as u32;
         let deadline = Instant::now() + Duration::from_millis(self.settings.deadline_ms);
         let first = (mixed >> 40) as usize % fleet.count().max(1);
-        for turn in 0..2 {
+        let mut crossed = false;
+        for turn in 0..MOST_TRIES {
             let i = (first + turn) % fleet.count().max(1);
             let Some(address) = fleet.address(i) else { continue };
             let kills = fleet.kills(i);
@@ -154,17 +158,28 @@
                 }
                 // The request never went out: it goes on to the next scheduler, a write too.
                 Ok(Err(Sent::Never)) => continue,
+                // A kept connection closed while the request was on its way: once more on a new one, as the
+                // platform's clients do. Had the scheduler read it, a write would show as doubled.
+                Ok(Err(Sent::Crossed)) if fleet.kills(i) == kills && !crossed => {
+                    crossed = true;
+                    continue;
+                }
                 _ if fleet.kills(i) != kills => return Ended::Failed,
-                _ => break,
+                _ => return Ended::Unanswered,
             }
         }
-        Ended::Unanswered
+        // It never went out: no scheduler was there, and the client knows.
+        Ended::Failed
     }
 
     async fn send(&self, address: SocketAddr, request: http::Request<Full<Bytes>>) -> Result<u16, Sent> {
         let kept = self.pool.0.lock().unwrap().get_mut(&address).and_then(Vec::pop);
+        let mut used = false;
         let mut sender = match kept {
-            Some(sender) if !sender.is_closed() => sender,
+            Some(sender) if !sender.is_closed() => {
+                used = true;
+                sender
+            }
             _ => {
                 let stream = TcpStream::connect(address).await.map_err(|_| Sent::Never)?;
                 let _ = stream.set_nodelay(true);
@@ -175,10 +190,12 @@
         };
         sender.ready().await.map_err(|_| Sent::Never)?;
         // A request that hyper gives back was never written: it may go elsewhere.
-        let response = sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut error| if error.take_message().is_some() { Sent::Never } else { Sent::Broken })?;
+        let response =
+            sender.try_send_request(request).await.map_err(|mut error| match error.take_message() {
+                Some(_) => Sent::Never,
+                None if used => Sent::Crossed,
+                None => Sent::Broken,
+            })?;
         let status = response.status().as_u16();
         let whole = response.into_body().collect().await.is_ok();
         if !whole {
@@ -194,6 +211,8 @@
 enum Sent {
     /// The connection was refused or closed before the request went out.
     Never,
+    /// A kept connection ended before any answer.
+    Crossed,
     /// It broke after the request went out.
     Broken,
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod process;
 pub mod scenario;
+pub mod virtual_time;
 
 pub use hall::{Hall, HallSettings};
 pub use ledger::Verdict;
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -61,6 +61,13 @@
     }
 }
 
+impl NodeSettings {
+    /// How many times slower a node is at this age, in milliseconds.
+    pub fn coldness(&self, age: f64) -> f64 {
+        1.0 + (self.cold_factor - 1.0).max(0.0) * (1.0 - age / self.warm_ms.max(1e-3)).max(0.0)
+    }
+}
+
 /// What a node has seen, from its own side.
 #[derive(Debug, Default)]
 pub struct NodeLog {
@@ -196,8 +203,7 @@
     }
     let _worker = inner.workers.acquire().await.expect("never closed");
     let age = inner.started.lock().unwrap().elapsed().as_secs_f64() * 1000.0;
-    let cold =
-        1.0 + (inner.settings.cold_factor - 1.0).max(0.0) * (1.0 - age / inner.settings.warm_ms).max(0.0);
+    let cold = inner.settings.coldness(age);
     let slow = if let Mood::Slow { factor } = mood { factor } else { 1.0 };
     let work = inner.settings.unit_ms * units as f64 * cold * slow;
     tokio::time::sleep(Duration::from_secs_f64(work / 1000.0)).await;
