Have the schedulers settle maintenance among themselves: one log, SWIM, bans carried out

Need: drains at one scheduler's door are not known to the others; the decisions and their model existed, nothing talked.

Change: peers/ gains agree.rs (openraft's log with its storage in one synced file), swim.rs (foca), wire.rs and drive.rs; the daemon gives it hands. [maintenance] in the operator's file, off by default, off in run. pointcross maintenance ask, done, plan. The fleet rig links schedulers to one another, asks for the plan, kills the lease's holder and holds the views against the nodes' own counts; its clients come by a front that asks /-/ready.

Test of 8 processes in cli/tests/fleet.rs.

--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -394,12 +394,25 @@
             operator,
             known_list: scenario.known_list,
             seed: self.seed,
+            shards: scenario.shards,
+            maintenance: scenario.maintenance.clone(),
         };
         let begun = Instant::now();
         let (verdict, series) = rehearse(&scenario, &settings).await.map_err(|error| error.to_string())?;
         let mut told = serde_json::to_value(&verdict).map_err(|error| error.to_string())?;
         let mut holds = verdict.rules_hold();
-        if !self.no_naive {
+        if let Some(plan) = &series.plan {
+            holds &= plan.taken_out == plan.asked
+                && plan.max_out_at_once <= plan.limit_out
+                && plan.holders_at_once <= 1
+                && plan.reserve_breaks == 0;
+            let plan = serde_json::to_value(plan).map_err(|error| error.to_string())?;
+            for (key, value) in plan.as_object().into_iter().flatten() {
+                told[key] = value.clone();
+            }
+        }
+        // Without a plan there is nothing that a naive run of it would be.
+        if !self.no_naive && scenario.maintenance.is_none() {
             // The same seed and faults, as the program stood before: the figures to hold the run against.
             let plain = pointcross_fleet::HallSettings {
                 folder: settings.folder.join("naive"),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,9 +1,10 @@
-//! The program: `serve` (also without a sub-command), `check-config`, `call` and `completions`.
+//! The program: `serve` (also without a sub-command), and the sub-commands beside it.
 
 mod call;
 mod check;
 mod lab;
 mod log;
+mod maintenance;
 mod nodes;
 mod serve;
 
@@ -33,6 +34,9 @@
     /// Rehearse incidents in the laboratory
     #[command(subcommand)]
     Lab(lab::Lab),
+    /// Take machines out for work, in an order that the schedulers settle among themselves
+    #[command(subcommand)]
+    Maintenance(maintenance::Maintenance),
     /// Print a shell's completions
     Completions {
         /// The shell
@@ -53,6 +57,7 @@
         Command::Call(call) => call.run(),
         Command::Nodes(nodes) => nodes.run(),
         Command::Lab(lab) => lab.run(),
+        Command::Maintenance(maintenance) => maintenance.run(),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "pointcross", &mut std::io::stdout());
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -60,6 +60,8 @@
         operator: None,
         known_list: true,
         seed: 1311,
+        shards: None,
+        maintenance: None,
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
     let (verdict, _) = runtime.block_on(rehearse(&scenario, &settings)).unwrap();
@@ -92,6 +94,8 @@
             operator: None,
             known_list: false,
             seed: 5,
+            shards: None,
+            maintenance: None,
         };
         let (verdict, _) =
             runtime.block_on(rehearse(&Scenario::parse(&scenario).unwrap(), &settings)).unwrap();
@@ -151,6 +155,8 @@
             operator: None,
             known_list: false,
             seed: 1311,
+            shards: None,
+            maintenance: None,
         };
         let (verdict, _) = runtime.block_on(rehearse(scenario, &settings)).unwrap();
         assert!(verdict.rules_hold(), "{verdict:?}");
@@ -162,3 +168,84 @@
     assert!(plain.node_overloads > 50, "{plain:?}");
     assert!(ramped.node_overloads * 10 < plain.node_overloads, "{ramped:?} against {plain:?}");
 }
+
+/// Guards against a plan that takes out more than its limit, both nodes of a shard, or a machine that still gets
+/// requests, when the scheduler that drives it is killed in the middle, one is cut off from the others and one is far
+/// away: all asked for is taken out and back, by one holder at a time, and no client notices.
+#[test]
+fn machines_are_taken_out_in_one_order_while_the_holder_is_killed_and_links_drop() {
+    let scenario = Scenario::parse(
+        r#"
+        kind = "fleet"
+        about = "eight schedulers take out three nodes and one of themselves, one or two at a time"
+        seconds = 16.0
+        nodes = 4
+        shards = 2
+        known_list = true
+        load = { rate = 120.0, write_share = 0.3, deadline_ms = 2000, shards = 2 }
+        [maintenance]
+        limit = 2
+        lease_ms = 1500
+        work_ms = 700
+        nodes_left = 1
+        schedulers_left = 5
+        forget_ms = 3000
+        [[event]]
+        at = 1.5
+        do = "ask"
+        scheduler = 2
+        machines = ["node/s-0000", "node/s-0002", "scheduler/n6"]
+        [[event]]
+        at = 1.5
+        do = "ask"
+        scheduler = 4
+        machines = ["node/s-0001"]
+        [[event]]
+        at = 1.6
+        do = "peer_links"
+        which = [3]
+        fault = { kind = "delayed", median_ms = 30.0, sigma = 0.5 }
+        [[event]]
+        at = 2.0
+        do = "kill_holder"
+        [[event]]
+        at = 2.5
+        do = "peer_links"
+        which = [5]
+        fault = { kind = "dropped" }
+        [[event]]
+        at = 5.0
+        do = "peer_links"
+        which = [5]
+        fault = { kind = "up" }
+        [[event]]
+        at = 5.0
+        do = "restart"
+        "#,
+    )
+    .unwrap();
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("fleet-plan");
+    let _ = std::fs::remove_dir_all(&folder);
+    let settings = HallSettings {
+        program: env!("CARGO_BIN_EXE_pointcross").into(),
+        folder,
+        schedulers: 8,
+        nodes: 4,
+        node: Default::default(),
+        operator: None,
+        known_list: true,
+        seed: 1311,
+        shards: None,
+        maintenance: None,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let (verdict, series) = runtime.block_on(rehearse(&scenario, &settings)).unwrap();
+    let plan = series.plan.expect("the schedulers hold a plan");
+    println!("{verdict:?}\n{plan:?}");
+    assert!(verdict.rules_hold(), "{verdict:?}");
+    assert!(verdict.served_share > 0.95, "{verdict:?}");
+    assert_eq!((plan.asked, plan.taken_out), (4, 4), "{plan:?}");
+    assert!(plan.max_out_at_once >= 1 && plan.max_out_at_once <= 2, "{plan:?}");
+    assert!(plan.holders_at_once == 1 && plan.epochs >= 2, "{plan:?}");
+    assert_eq!((plan.reserve_breaks, plan.sent_while_out), (0, 0), "{plan:?}");
+}
--- a/core/src/nodes.rs
+++ b/core/src/nodes.rs
@@ -1,7 +1,7 @@
 //! The node list: which address stands behind each name that the module uses.
 
 use pointcross_decide::{NodeEntry, NodeId, NodeState};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// One entry of discovery's list.
@@ -153,6 +153,17 @@
         if known { Ok(()) } else { Err(BanError::Unknown(name.to_owned())) }
     }
 
+    /// The module's name for a listed one.
+    pub(crate) fn named(&self, name: &str) -> Option<NodeId> {
+        self.by_name.get(name).copied()
+    }
+
+    /// The listed nodes that take work by the list, and the shard of each.
+    pub(crate) fn taking_work(&self) -> BTreeMap<String, u32> {
+        let ready = self.members.values().filter(|member| member.state == NodeState::Ready);
+        ready.map(|member| (member.name.clone(), member.shard)).collect()
+    }
+
     /// Names banned now, in order.
     pub(crate) fn banned(&self) -> Vec<String> {
         let mut names: Vec<_> = self.banned.keys().cloned().collect();
--- a/core/src/serve.rs
+++ b/core/src/serve.rs
@@ -293,6 +293,7 @@
         let (abort, registration) = AbortHandle::new_pair();
         let sent = Instant::now();
         let number = self.attempts.len() as u16;
+        self.core.begins(target.node);
         self.attempts.push(Some(Out { target: target.clone(), sent, abort }));
         (Attempt { target, time_left: until.saturating_duration_since(sent), number }, registration)
     }
@@ -306,6 +307,7 @@
     /// Tells guard and module; gives the guard's word that the node was set aside.
     fn ended(&mut self, number: usize, outcome: Outcome, report: Report) -> Option<Duration> {
         let out = self.attempts[number].take()?;
+        self.core.ends(out.target.node);
         // What never reached the node is no call to it; everything else may have been written whole.
         if !matches!(outcome, Outcome::NoConnection | Outcome::NotSent) {
             self.core.counts().attempted();
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -4,9 +4,10 @@
 use crate::counts::Counts;
 use crate::guard::Guard;
 use crate::nodes::{BanError, Member, Nodes, Target};
-use pointcross_decide::{Action, Event, ListKind, RequestId, Scheduler, Settings, SettingsError};
+use pointcross_decide::{Action, Event, ListKind, NodeId, RequestId, Scheduler, Settings, SettingsError};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::{Notify, mpsc, watch};
 use tokio::time::Instant;
@@ -39,6 +40,8 @@
     follow: watch::Sender<bool>,
     guard: Option<Arc<dyn Guard>>,
     counts: Counts,
+    /// Attempts that have not ended, by node; as long as the nodes that have any.
+    in_hand: Mutex<HashMap<NodeId, usize>>,
 }
 
 impl Core {
@@ -64,7 +67,16 @@
         let (follow, _) = watch::channel(false);
         let counts = Counts::new(settings.classes.len());
         let state = Mutex::new(state);
-        Ok(Core { settings, clock, state, timer_set: Notify::new(), follow, guard: None, counts })
+        Ok(Core {
+            settings,
+            clock,
+            state,
+            timer_set: Notify::new(),
+            follow,
+            guard: None,
+            counts,
+            in_hand: Mutex::default(),
+        })
     }
 
     /// The same core behind a guard.
@@ -140,6 +152,36 @@
         Ok(())
     }
 
+    /// Attempts at the node of this listed name that have not ended.
+    pub fn attempts_at(&self, name: &str) -> usize {
+        let Some(node) = self.lock().nodes.named(name) else { return 0 };
+        self.in_hand().get(&node).copied().unwrap_or(0)
+    }
+
+    /// The listed nodes that take work, whether banned by hand or not, and the shard of each.
+    pub fn taking_work(&self) -> BTreeMap<String, u32> {
+        self.lock().nodes.taking_work()
+    }
+
+    fn in_hand(&self) -> MutexGuard<'_, HashMap<NodeId, usize>> {
+        self.in_hand.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An attempt at this node begins.
+    pub(crate) fn begins(&self, node: NodeId) {
+        *self.in_hand().entry(node).or_default() += 1;
+    }
+
+    /// It ended.
+    pub(crate) fn ends(&self, node: NodeId) {
+        if let Entry::Occupied(mut attempts) = self.in_hand().entry(node) {
+            *attempts.get_mut() -= 1;
+            if *attempts.get() == 0 {
+                attempts.remove();
+            }
+        }
+    }
+
     /// The names banned now, sorted.
     pub fn banned(&self) -> Vec<String> {
         self.lock().nodes.banned()
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -13,6 +13,8 @@
 use pointcross_membership::pace::PaceRules;
 use pointcross_membership::ramp::RampRules;
 use pointcross_net::platform::fits_path;
+use pointcross_peers::maintenance::decide::Rules;
+use pointcross_peers::settings::{Peer, PeerSettings};
 use pointcross_settings::{Parsed, SettingsTextError};
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -56,6 +58,8 @@
     pub list_calls: Option<ListCalls>,
     /// How fast a fresh scheduler sends to each node, where the operator's file says (`[ramp]`).
     pub ramp: Option<RampRules>,
+    /// The other schedulers and how machines are taken out, where the operator's file says (`[maintenance]`).
+    pub maintenance: Option<PeerSettings>,
 }
 
 /// `[list_calls]`: how calls for the list are spaced, so that a hall of schedulers spares the list service.
@@ -206,6 +210,87 @@
     membership: Option<OperatorMembership>,
     list_calls: Option<OperatorListCalls>,
     ramp: Option<OperatorRamp>,
+    maintenance: Option<OperatorMaintenance>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorMaintenance {
+    listen: SocketAddr,
+    state: PathBuf,
+    limit: usize,
+    #[serde(default)]
+    work_ms: Option<u64>,
+    #[serde(default = "OperatorMaintenance::lease")]
+    lease_ms: u64,
+    #[serde(default = "OperatorMaintenance::left")]
+    nodes_left: usize,
+    #[serde(default = "OperatorMaintenance::left")]
+    schedulers_left: usize,
+    #[serde(default = "OperatorMaintenance::forget")]
+    forget_ms: u64,
+    #[serde(default = "OperatorMaintenance::election")]
+    election_ms: u64,
+    #[serde(rename = "peer")]
+    peers: Vec<OperatorPeer>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OperatorPeer {
+    name: String,
+    address: SocketAddr,
+}
+
+impl OperatorMaintenance {
+    fn lease() -> u64 {
+        3000
+    }
+    fn left() -> usize {
+        1
+    }
+    fn forget() -> u64 {
+        30_000
+    }
+    fn election() -> u64 {
+        600
+    }
+
+    fn check(self, name: &str, seed: u64, faults: &mut Faults) -> Option<PeerSettings> {
+        let me = self.peers.iter().position(|peer| peer.name == name);
+        let missing = format!("{} names; wanted {name:?} among them", self.peers.len());
+        faults.want(me.is_some(), "maintenance.peer", missing);
+        let names: std::collections::BTreeSet<_> = self.peers.iter().map(|peer| &peer.name).collect();
+        faults.want(names.len() == self.peers.len(), "maintenance.peer", "a name twice".to_owned());
+        faults.want(self.limit > 0, "maintenance.limit", "0: nothing is ever taken out");
+        for (key, value, least) in [
+            ("maintenance.lease_ms", self.lease_ms, 100),
+            ("maintenance.forget_ms", self.forget_ms, 1000),
+            ("maintenance.election_ms", self.election_ms, 50),
+        ] {
+            let wanted = format!("{value}: wanted {least} to 3600000 milliseconds");
+            faults.want((least..=3_600_000).contains(&value), key, wanted);
+        }
+        faults.want(self.nodes_left > 0, "maintenance.nodes_left", "0: a shard would be without a node");
+        let rules = Rules {
+            limit: self.limit,
+            lease_ms: self.lease_ms,
+            work_ms: self.work_ms,
+            nodes_left: self.nodes_left,
+            schedulers_left: self.schedulers_left,
+        };
+        let peers = self.peers.into_iter().map(|peer| Peer { name: peer.name, address: peer.address });
+        Some(PeerSettings {
+            me: me?,
+            peers: peers.collect(),
+            listen: self.listen,
+            state: self.state,
+            rules,
+            forget: Duration::from_millis(self.forget_ms),
+            election: Duration::from_millis(self.election_ms),
+            seed,
+        })
+    }
 }
 
 #[derive(Deserialize)]
@@ -224,6 +309,11 @@
     release: f64,
 }
 
+/// The same without what is new at each start.
+fn lasting(maintenance: &Option<PeerSettings>) -> Option<PeerSettings> {
+    maintenance.clone().map(|settings| PeerSettings { seed: 0, ..settings })
+}
+
 impl OperatorRamp {
     fn fast() -> f64 {
         RampRules::default().fast_ms
@@ -611,6 +701,7 @@
             ("nbd", self.nbd == new.nbd),
             ("otlp", self.otlp == new.otlp),
             ("ramp", self.ramp == new.ramp),
+            ("maintenance", lasting(&self.maintenance) == lasting(&new.maintenance)),
         ];
         same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
     }
@@ -657,10 +748,12 @@
         };
         let operator: Option<Operator> =
             faults.keep(toml::from_str(operator).map_err(|error| bad(OPERATOR_FILE, error)));
-        let (nbd, otlp, membership, list_calls, ramp) = operator
-            .map_or((None, None, None, None, None), |of| {
-                (of.nbd, of.otlp, of.membership, of.list_calls, of.ramp)
+        let (nbd, otlp, membership, list_calls, ramp, maintenance) = operator
+            .map_or((None, None, None, None, None, None), |of| {
+                (of.nbd, of.otlp, of.membership, of.list_calls, of.ramp, of.maintenance)
             });
+        let name = stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned());
+        let maintenance = maintenance.and_then(|of| of.check(&name, seed.unwrap_or(0), &mut faults));
         let ramp = ramp.map(|ramp| ramp.check(&mut faults));
         let list_calls = list_calls.map(|calls| calls.check(&mut faults));
         let membership = match (membership, &parsed) {
@@ -679,7 +772,7 @@
         match (listen, discovery, ops, seed, parsed) {
             (Some(listen), Some(discovery), Some(ops), Some(seed), Some(parsed)) if faults.0.is_empty() => {
                 Ok(Config {
-                    name: stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned()),
+                    name,
                     listen,
                     discovery,
                     ops,
@@ -692,6 +785,7 @@
                     membership,
                     list_calls,
                     ramp,
+                    maintenance,
                 })
             }
             _ => Err(faults),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod discovery;
 pub mod http;
+pub mod maintenance;
 pub mod membership;
 pub mod nbd;
 pub mod ops;
@@ -43,6 +44,9 @@
     /// The module cannot work with these settings.
     #[error("settings: {0}")]
     Settings(#[from] SettingsError),
+    /// The other schedulers cannot be joined.
+    #[error(transparent)]
+    Peers(#[from] pointcross_peers::drive::StartError),
     /// An address cannot be listened on.
     #[error("{key}: cannot listen there: {error}")]
     Listen {
@@ -72,6 +76,8 @@
     ops: Option<TcpListener>,
     nbd: Option<(nbd::NbdConfig, TcpListener)>,
     discovery: watch::Sender<SocketAddr>,
+    /// The other schedulers, where the operator's file names them.
+    peers: Option<pointcross_peers::drive::Bound>,
     /// What decides on membership, with what it begins with, where the operator's file turns it on.
     vetted: Option<(Arc<Vetted>, Effects)>,
 }
@@ -132,7 +138,11 @@
             Some(otlp) => Telemetry::start(otlp, &config.name, &config.parsed)?,
         };
         let (discovery, _) = watch::channel(config.discovery);
-        Ok(Daemon { config, core, store, telemetry, http, ops, nbd, discovery, vetted })
+        let peers = match &config.maintenance {
+            None => None,
+            Some(settings) => Some(pointcross_peers::drive::Bound::start(settings.clone()).await?),
+        };
+        Ok(Daemon { config, core, store, telemetry, http, ops, nbd, discovery, peers, vetted })
     }
 
     /// Where HTTP clients connect.
@@ -167,7 +177,7 @@
     pub async fn run(self, shutdown: Shutdown) {
         let (http, nbd, door) = (self.http_address().ok(), self.nbd_address(), self.ops_address());
         tracing::info!(name = self.config.name, ?http, ?nbd, ops = ?door, "serving");
-        let Daemon { config, core, store, telemetry, http, ops, nbd, discovery, vetted } = self;
+        let Daemon { config, core, store, telemetry, http, ops, nbd, discovery, peers, vetted } = self;
         // Bans that an earlier process of this scheduler left hold before the first list comes.
         let bans = ops.as_ref().map(|_| ops::bans::path_for(&std::env::temp_dir(), config.listen));
         if let Some(path) = &bans {
@@ -180,7 +190,17 @@
                 Err(error) => tracing::warn!(%error, "bans' file not used"),
             }
         }
+        if let Some(peers) = &peers {
+            core.restore_bans(peers.banned());
+        }
         let service = ops::Service::default();
+        let hands = maintenance::AtHand::new(core.clone(), service.clone());
+        let peering = async move {
+            match peers {
+                Some(peers) => peers.run(hands).await,
+                None => std::future::pending().await,
+            }
+        };
         service.set_listening(matches!(http, Clients::Listening(_)));
         // A process told to stop while its successor is in service gives up its part of every limit.
         let handing = {
@@ -253,6 +273,7 @@
             () = following => {}
             () = door => {}
             () = handing => {}
+            () = peering => {}
             _ = async { tokio::join!(clients(http, front, core.clone(), config.budget.front, service2), nbd) } => {}
         }
         telemetry.shutdown().await;
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -89,6 +89,16 @@
         let text = fault(&platform(), &format!("[ramp]\n{ramp}\n"));
         assert!(text.starts_with(key), "{text}");
     }
+    let peers = "[[maintenance.peer]]\nname = \"n0\"\naddress = \"127.0.0.1:7300\"\n";
+    let plan = "[maintenance]\nlisten = \"127.0.0.1:7300\"\nstate = \"/nowhere/plan\"\nlimit = 1\n";
+    for (more, key) in [
+        ("lease_ms = 5\n", "maintenance.lease_ms"),
+        ("nodes_left = 0\n", "maintenance.nodes_left"),
+        ("[[maintenance.peer]]\nname = \"n0\"\naddress = \"127.0.0.1:1\"\n", "maintenance.peer"),
+    ] {
+        let text = fault(&platform(), &format!("{plan}{more}{peers}"));
+        assert!(text.contains(key), "{text}");
+    }
     let cold_start = include_str!("../../deploy/fleet-cold-start.toml");
     let config = Config::from_texts(|_| None, &platform(), cold_start, Wins::Variable).unwrap();
     assert!(config.ramp.is_some() && config.list_calls.is_some());
--- a/fleet/src/hall.rs
+++ b/fleet/src/hall.rs
@@ -5,10 +5,12 @@
 use crate::link::{Fault, Link};
 use crate::list::{Entry, ListMood, ListService};
 use crate::node::{Mood, Node, NodeSettings};
+use crate::plan::PlanSettings;
 use crate::process::{Launch, Scheduler, StartError};
+use pointcross_peers::wire::{CallError, Caller};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -47,17 +49,52 @@
     pub known_list: bool,
     /// Seeds every draw of the rig.
     pub seed: u64,
+    /// Shards, dealt out over the nodes in turn; one a node where left out.
+    pub shards: Option<usize>,
+    /// The maintenance plan that the schedulers hold together, where they do.
+    pub maintenance: Option<PlanSettings>,
 }
 
 /// Where each scheduler is, shared with the clients.
 struct Places {
     addresses: RwLock<Vec<Option<SocketAddr>>>,
     kills: Vec<AtomicU64>,
+    /// Whether each says that it takes clients.
+    ready: Vec<AtomicBool>,
+}
+
+/// How often the clients' front asks each scheduler whether it takes clients.
+const FRONT: Duration = Duration::from_millis(100);
+
+/// Asks every scheduler whether it takes clients, as the platform's front does; one that says no gets none. One that
+/// cannot be asked is left as it was: its clients meet that themselves.
+async fn front(places: Arc<Places>) {
+    let caller = Caller::default();
+    let mut every = tokio::time::interval(FRONT);
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        let addresses = places.addresses.read().unwrap().clone();
+        let asks = addresses.into_iter().enumerate().map(|(i, address)| {
+            let (caller, places) = (&caller, &places);
+            async move {
+                let Some(address) = address else { return };
+                let answer = caller.call("GET", address, "/-/ready", "", 3 * FRONT).await;
+                match answer {
+                    Ok(_) => places.ready[i].store(true, Ordering::Relaxed),
+                    Err(CallError::Status(..)) => places.ready[i].store(false, Ordering::Relaxed),
+                    Err(_) => {}
+                }
+            }
+        });
+        futures_util::future::join_all(asks).await;
+    }
 }
 
 impl Fleet for Places {
     fn address(&self, i: usize) -> Option<SocketAddr> {
-        self.addresses.read().unwrap().get(i).copied().flatten()
+        let ready = self.ready[i].load(Ordering::Relaxed);
+        self.addresses.read().unwrap().get(i).copied().flatten().filter(|_| ready)
     }
     fn count(&self) -> usize {
         self.kills.len()
@@ -77,12 +114,28 @@
     pub node_links: Vec<Vec<Link>>,
     /// Each scheduler's link to the list service.
     pub list_links: Vec<Link>,
+    /// Each scheduler's link to each other one, by both; empty where they do not talk.
+    pub peer_links: Vec<Vec<Link>>,
+    /// Where each scheduler talks with the others; empty where they do not.
+    pub peer_doors: Vec<SocketAddr>,
     /// The schedulers.
     pub schedulers: Vec<Scheduler>,
     places: Arc<Places>,
     epoch: Instant,
 }
 
+/// The listed id of node `n`.
+pub fn node_name(n: usize) -> String {
+    format!("s-{n:04}")
+}
+
+/// An address that nobody listens at now, for scheduler `i`: it must be told where before it starts. On a loopback
+/// address of its own, since the links' listeners would be given the port as soon as it is free.
+fn free_address(i: usize) -> std::io::Result<SocketAddr> {
+    let host = std::net::Ipv4Addr::new(127, 1, (i / 250) as u8, (i % 250) as u8 + 1);
+    std::net::TcpListener::bind((host, 0))?.local_addr()
+}
+
 fn unix_ms() -> u64 {
     std::time::SystemTime::now()
         .duration_since(std::time::UNIX_EPOCH)
@@ -94,12 +147,26 @@
     pub async fn build(settings: &HallSettings) -> std::io::Result<Hall> {
         let epoch = Instant::now();
         let mut nodes = Vec::new();
-        for shard in 0..settings.nodes {
-            nodes.push(Node::start(shard as u32, settings.node.clone(), epoch).await?);
+        let shards = settings.shards.unwrap_or(settings.nodes).max(1);
+        for n in 0..settings.nodes {
+            nodes.push(Node::start((n % shards) as u32, settings.node.clone(), epoch).await?);
         }
         let entries = (0..settings.nodes)
-            .map(|shard| Entry { id: format!("s-{shard:04}"), cell: shard as u32, up_since_ms: unix_ms() })
+            .map(|n| Entry { id: node_name(n), cell: (n % shards) as u32, up_since_ms: unix_ms() })
             .collect();
+        let (mut peer_links, mut peer_doors) = (Vec::new(), Vec::new());
+        if settings.maintenance.is_some() {
+            for i in 0..settings.schedulers {
+                peer_doors.push(free_address(i)?);
+            }
+            for i in 0..settings.schedulers {
+                let mut links = Vec::new();
+                for (j, &door) in peer_doors.iter().enumerate() {
+                    links.push(Link::open(door, settings.seed ^ ((i * 1000 + j) as u64) << 20).await?);
+                }
+                peer_links.push(links);
+            }
+        }
         let list = ListService::new(entries, epoch);
         let (mut node_links, mut list_links, mut schedulers) = (Vec::new(), Vec::new(), Vec::new());
         let settings_json = platform_settings();
@@ -125,12 +192,23 @@
                 platform["known"] = known;
             }
             let folder = settings.folder.join(format!("n{i}"));
+            let mut operator = settings.operator.clone();
+            if let Some(maintenance) = &settings.maintenance {
+                let state = folder.join("plan");
+                let peers: Vec<(String, SocketAddr)> = peer_links[i]
+                    .iter()
+                    .enumerate()
+                    .map(|(j, link): (usize, &Link)| (format!("n{j}"), link.address))
+                    .collect();
+                let section = maintenance.section(peer_doors[i], &state.display().to_string(), &peers);
+                operator = Some(operator.unwrap_or_default() + &section);
+            }
             let launch = Launch {
                 program: settings.program.clone(),
                 name: format!("n{i}"),
                 folder,
                 platform,
-                operator: settings.operator.clone(),
+                operator,
             };
             schedulers.push(Scheduler::new(launch));
             node_links.push(links);
@@ -139,8 +217,10 @@
         let places = Places {
             addresses: RwLock::new(vec![None; settings.schedulers]),
             kills: (0..settings.schedulers).map(|_| AtomicU64::new(0)).collect(),
+            ready: (0..settings.schedulers).map(|_| AtomicBool::new(true)).collect(),
         };
-        Ok(Hall { nodes, list, node_links, list_links, schedulers, places: Arc::new(places), epoch })
+        let places = Arc::new(places);
+        Ok(Hall { nodes, list, node_links, list_links, peer_links, peer_doors, schedulers, places, epoch })
     }
 
     /// Time since the hall was set up.
@@ -197,6 +277,17 @@
         self.list_links[i].set(fault);
     }
 
+    /// Sets the fault of the links between scheduler `i` and every other, both ways.
+    pub fn set_peer_links(&self, i: usize, fault: Fault) {
+        for (from, links) in self.peer_links.iter().enumerate() {
+            for (to, link) in links.iter().enumerate().filter(|(to, _)| from == i || *to == i) {
+                if from != to {
+                    link.set(fault);
+                }
+            }
+        }
+    }
+
     /// Sets how node `n` behaves.
     pub fn set_node(&self, n: usize, mood: Mood) {
         self.nodes[n].set(mood);
@@ -218,6 +309,11 @@
         (Clients::new(load), self.places.clone())
     }
 
+    /// Has clients sent only to schedulers that say they take them, from now on; ends when the task is dropped.
+    pub fn front(&self) -> tokio::task::JoinHandle<()> {
+        tokio::spawn(front(self.places.clone()))
+    }
+
     /// Looks for schedulers that ended on their own.
     pub fn check(&mut self) {
         for scheduler in &mut self.schedulers {
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -68,6 +68,8 @@
     pub answers: Vec<[u32; 4]>,
     /// The most requests that each node held in each second, by second and node.
     pub held: Vec<Vec<u32>>,
+    /// What came of the maintenance plan, where there was one.
+    pub plan: Option<crate::plan::PlanVerdict>,
 }
 
 /// What a fleet run comes to, from the stand-ins' logs and the clients' own count of answers.
--- a/fleet/src/scenario.rs
+++ b/fleet/src/scenario.rs
@@ -6,6 +6,7 @@
 use crate::link::Fault;
 use crate::list::ListMood;
 use crate::node::{Mood, NodeSettings};
+use crate::plan::{PlanSettings, PlanWatch};
 use serde::Deserialize;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -34,6 +35,12 @@
     /// The schedulers' operator's file, as a table; none where it is left out.
     #[serde(default)]
     pub operator: Option<toml::Table>,
+    /// Shards, dealt out over the nodes in turn; one a node where left out.
+    #[serde(default)]
+    pub shards: Option<usize>,
+    /// The maintenance plan that the schedulers hold together, where they do.
+    #[serde(default)]
+    pub maintenance: Option<PlanSettings>,
     /// What happens, in order of time.
     #[serde(default, rename = "event")]
     pub events: Vec<Event>,
@@ -111,6 +118,23 @@
     },
     /// Starts nodes again, cold.
     RestartNodes(Pick),
+    /// Sets the links between schedulers and all others.
+    PeerLinks {
+        /// Which schedulers.
+        #[serde(flatten)]
+        pick: Pick,
+        /// To what.
+        fault: Fault,
+    },
+    /// Kills the scheduler that holds the plan's lease.
+    KillHolder,
+    /// Asks a scheduler to have machines taken out.
+    Ask {
+        /// Which scheduler.
+        scheduler: usize,
+        /// `node/ID` and `scheduler/NAME`.
+        machines: Vec<String>,
+    },
     /// Sets how the list service behaves.
     List {
         /// To what.
@@ -153,6 +177,16 @@
             scenario.seconds > 0.0 && scenario.seconds <= 3600.0,
             "0 to 3600",
         )?;
+        let talks = |event: &Event| {
+            matches!(event.what, What::PeerLinks { .. } | What::KillHolder | What::Ask { .. })
+        };
+        if scenario.maintenance.is_none()
+            && let Some(n) = scenario.events.iter().position(talks)
+        {
+            let key = format!("event[{n}].do");
+            let found = "an event of schedulers that talk".into();
+            return Err(ScenarioError::Range { key, found, wanted: "[maintenance] beside it" });
+        }
         range("nodes".into(), scenario.nodes as f64, (1..=1000).contains(&scenario.nodes), "1 to 1000")?;
         for (n, event) in scenario.events.iter().enumerate() {
             let key = format!("event[{n}].at");
@@ -164,7 +198,8 @@
                 What::NodeLinks { pick, .. } | What::ListLinks { pick, .. } | What::Nodes { pick, .. } => {
                     pick.share
                 }
-                What::List { .. } => 1.0,
+                What::PeerLinks { pick, .. } => pick.share,
+                What::List { .. } | What::KillHolder | What::Ask { .. } => 1.0,
             };
             range(format!("event[{n}].share"), share, (0.0..=1.0).contains(&share), "0 to 1")?;
         }
@@ -179,7 +214,7 @@
 }
 
 /// Plays the events into the hall while its clients send; ends after the last event.
-pub async fn play(scenario: &Scenario, hall: &mut Hall, seed: u64) {
+pub async fn play(scenario: &Scenario, hall: &mut Hall, seed: u64, plan: Option<&PlanWatch>) {
     let begun = tokio::time::Instant::now();
     for (n, event) in scenario.events.iter().enumerate() {
         tokio::time::sleep_until(begun + Duration::from_secs_f64(event.at)).await;
@@ -224,6 +259,24 @@
                 }
             }
             What::List { mood } => hall.set_list(*mood),
+            What::PeerLinks { pick, fault } => {
+                for i in pick.members(schedulers, seed, n) {
+                    hall.set_peer_links(i, *fault);
+                }
+            }
+            What::KillHolder => {
+                if let Some(i) = plan.and_then(PlanWatch::holder) {
+                    hall.kill(i).await;
+                }
+            }
+            What::Ask { scheduler, machines } => {
+                // An ask that no door takes leaves machines that are never out, which the verdict shows.
+                if let Some(plan) = plan
+                    && let Err(error) = plan.ask(*scheduler, machines).await
+                {
+                    eprintln!("pointcross: ask: {error}");
+                }
+            }
         }
     }
 }
@@ -262,6 +315,8 @@
         nodes: scenario.nodes,
         node: scenario.node.clone(),
         known_list: scenario.known_list || settings.known_list,
+        shards: scenario.shards.or(settings.shards),
+        maintenance: scenario.maintenance.clone().or_else(|| settings.maintenance.clone()),
         operator,
         ..settings.clone()
     };
@@ -279,12 +334,35 @@
     let begun = hall.elapsed();
     let held = Arc::new(Mutex::new(Vec::new()));
     let watching = tokio::spawn(watch_nodes(hall.nodes.clone(), held.clone()));
-    tokio::join!(clients.run(fleet, length, settings.seed), play(scenario, &mut hall, settings.seed));
+    let plan = settings.maintenance.as_ref().map(|maintenance| {
+        let nodes = hall.nodes.iter().enumerate().map(|(n, node)| (crate::hall::node_name(n), node.clone()));
+        PlanWatch::new(hall.peer_doors.clone(), nodes.collect(), maintenance.limit)
+    });
+    // Where schedulers are taken out of service, clients come by a front that asks them.
+    let front = plan.as_ref().map(|_| hall.front());
+    let sending = async {
+        tokio::join!(
+            clients.run(fleet, length, settings.seed),
+            play(scenario, &mut hall, settings.seed, plan.as_ref())
+        );
+    };
+    match &plan {
+        None => sending.await,
+        Some(plan) => tokio::select! {
+            () = sending => {}
+            () = plan.watch() => {}
+        },
+    }
     watching.abort();
+    if let Some(front) = front {
+        front.abort();
+    }
     let verdict = hall.verdict(&clients);
     let answers = clients.outcomes.seconds.lock().unwrap().clone();
     let held = std::mem::take(&mut *held.lock().unwrap());
-    let series = crate::ledger::Series { list_calls: hall.list.calls().per_second(begun), answers, held };
+    let list_calls = hall.list.calls().per_second(begun);
+    let plan = plan.map(|plan| plan.verdict());
+    let series = crate::ledger::Series { list_calls, answers, held, plan };
     hall.shut().await;
     Ok((verdict, series))
 }
--- a/fleet/src/virtual_time.rs
+++ b/fleet/src/virtual_time.rs
@@ -132,9 +132,18 @@
 /// keys of the wrong form.
 pub fn play(scenario: &Scenario, schedulers: usize, seed: u64) -> Result<Verdict, ScenarioError> {
     for (n, event) in scenario.events.iter().enumerate() {
-        if let What::NodeLinks { .. } | What::ListLinks { .. } | What::Terminate(_) = event.what {
+        let left_out = matches!(
+            event.what,
+            What::NodeLinks { .. }
+                | What::ListLinks { .. }
+                | What::PeerLinks { .. }
+                | What::Terminate(_)
+                | What::KillHolder
+                | What::Ask { .. }
+        );
+        if left_out {
             let key = format!("event[{n}].do");
-            let found = "links or terminate".into();
+            let found = "links, terminate or a plan".into();
             return Err(ScenarioError::Range { key, found, wanted: "what virtual time plays" });
         }
     }
@@ -475,7 +484,13 @@
                 }
             }
             What::List { mood } => self.list = *mood,
-            What::NodeLinks { .. } | What::ListLinks { .. } | What::Terminate(_) => {}
+            // Refused before the play.
+            What::NodeLinks { .. }
+            | What::ListLinks { .. }
+            | What::PeerLinks { .. }
+            | What::Terminate(_)
+            | What::KillHolder
+            | What::Ask { .. } => {}
         }
     }
 
