Let the plan's writers take turns, and give each life of a holder its own epoch

Cause, from the log of the one scheduler that never confirmed: 'Write Logs: No such file', right at 256 commands. Ruled out: lost links and the kills (the scheduler was neither cut off nor killed). Seen with it: a holder killed and started again within its lease went on under the same epoch, so an old move of its former life would have passed the fence.

Change: one writer at a time; an agreement that has ended is named in the log; a lease names the holder's life, and another life waits for its end. Tests: writers_take_turns_and_the_last_change_is_what_is_kept, an_old_epoch_moves_nothing_and_a_held_lease_is_not_given; the model's schedulers have lives too.

--- a/peers/src/agree.rs
+++ b/peers/src/agree.rs
@@ -76,6 +76,9 @@
 struct Inner {
     path: PathBuf,
     kept: Mutex<Kept>,
+    /// Held while the file is written: a snapshot is built beside the log, and of two writers at once one would take
+    /// the other's file away, or put the older state over the newer.
+    writing: tokio::sync::Mutex<()>,
     state: Mutex<State>,
     told: watch::Sender<Plan>,
 }
@@ -159,7 +162,13 @@
             }
         }
         let (told, _) = watch::channel(guess);
-        let inner = Inner { path: path.to_owned(), kept: Mutex::new(kept), state: Mutex::new(state), told };
+        let inner = Inner {
+            path: path.to_owned(),
+            kept: Mutex::new(kept),
+            writing: tokio::sync::Mutex::new(()),
+            state: Mutex::new(state),
+            told,
+        };
         Ok(Store(Arc::new(inner)))
     }
 
@@ -170,6 +179,7 @@
 
     /// Changes what is kept, and keeps it before anyone hears of it.
     async fn keep(&self, change: impl FnOnce(&mut Kept)) -> io::Result<()> {
+        let _turn = self.0.writing.lock().await;
         let body = {
             let mut kept = locked(&self.0.kept);
             change(&mut kept);
@@ -452,4 +462,24 @@
         }
         std::fs::remove_dir_all(&folder).unwrap();
     }
+
+    /// Guards against a snapshot and the log written at once: one writer's file was renamed away under the other, whose
+    /// error ended the agreement at that scheduler, and the older state could win.
+    #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+    async fn writers_take_turns_and_the_last_change_is_what_is_kept() {
+        let folder = std::env::temp_dir().join(format!("pointcross-plan-turns-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let path = folder.join("plan");
+        let store = Store::open(&path).unwrap();
+        let writers = (0..200u64).map(|term| {
+            let store = store.clone();
+            tokio::spawn(async move { store.keep(move |kept| kept.vote = Some(Vote::new(term, 1))).await })
+        });
+        for writer in futures_util::future::join_all(writers).await {
+            writer.unwrap().expect("a write was disturbed by another");
+        }
+        let last = locked(&store.0.kept).vote;
+        assert_eq!(Store::open(&path).unwrap().read_vote().await.unwrap(), last);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
 }
--- a/peers/src/drive.rs
+++ b/peers/src/drive.rs
@@ -211,13 +211,21 @@
     async fn drive(&self, hands: &dyn Hands) {
         let me = self.settings.name().to_owned();
         let mut done = Done::default();
+        // A later start has a later life.
+        let life = crate::unix_ms();
         // What was banned from the start on is this plan's too.
         let first = self.plan.borrow().banned();
         done.banned.extend(first.into_iter().map(|node| (node, Instant::now())));
+        let mut stopped = false;
         let mut look = tokio::time::interval(LOOK);
         look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             look.tick().await;
+            let ended = self.raft.metrics().borrow().running_state.clone().err();
+            if let Some(error) = ended.filter(|_| !stopped) {
+                stopped = true;
+                tracing::error!(%error, "the agreement has ended here: what is out stays out until a new start");
+            }
             let plan = self.plan.borrow().clone();
             carry_out(&plan, &me, hands, &mut done);
             let confirms =
@@ -231,7 +239,8 @@
             let leads = self.raft.metrics().borrow().current_leader == Some(self.settings.me as u64);
             if leads {
                 let plan = self.plan.borrow().clone();
-                let command = next(&plan, crate::unix_ms(), &me, &self.fleet(hands), &self.settings.rules);
+                let command =
+                    next(&plan, crate::unix_ms(), (&me, life), &self.fleet(hands), &self.settings.rules);
                 if let Some(command) = command
                     && let Err(error) = self.say(command).await
                 {
--- a/peers/src/maintenance/decide.rs
+++ b/peers/src/maintenance/decide.rs
@@ -126,6 +126,9 @@
 pub struct Lease {
     /// The scheduler that holds it.
     pub holder: String,
+    /// Which of its lives: one that starts again under its name is another holder, since what it decided before may
+    /// still be on its way.
+    pub life: u64,
     /// Higher than every one before.
     pub epoch: u64,
     /// Until when, Unix milliseconds; the last one stays here when it is over.
@@ -165,6 +168,8 @@
     Claim {
         /// Which scheduler.
         holder: String,
+        /// Which of its lives.
+        life: u64,
         /// When.
         now: u64,
         /// For how long, in milliseconds.
@@ -255,7 +260,7 @@
         match command {
             Command::Ask { machines, now } => self.ask(machines, *now),
             Command::Done { machine, now } => self.done(machine, *now),
-            Command::Claim { holder, now, lasts } => self.claim(holder, *now, *lasts),
+            Command::Claim { holder, life, now, lasts } => self.claim(holder, *life, *now, *lasts),
             Command::Move { epoch, machine, round, to, now } => {
                 let held = self.lease.as_ref().map_or(0, |lease| lease.epoch);
                 if fencing == Fencing::Fenced && *epoch != held {
@@ -328,10 +333,10 @@
         Ok(())
     }
 
-    fn claim(&mut self, holder: &str, now: u64, lasts: u64) -> Result<(), Refused> {
+    fn claim(&mut self, holder: &str, life: u64, now: u64, lasts: u64) -> Result<(), Refused> {
         let until = now.saturating_add(lasts);
         match &mut self.lease {
-            Some(lease) if now < lease.until && lease.holder != holder => {
+            Some(lease) if now < lease.until && (lease.holder != holder || lease.life != life) => {
                 Err(Refused::Held { holder: lease.holder.clone(), until: lease.until })
             }
             Some(lease) if now < lease.until => {
@@ -340,7 +345,7 @@
             }
             lease => {
                 let epoch = lease.as_ref().map_or(0, |lease| lease.epoch) + 1;
-                *lease = Some(Lease { holder: holder.to_owned(), epoch, until });
+                *lease = Some(Lease { holder: holder.to_owned(), life, epoch, until });
                 Ok(())
             }
         }
@@ -436,16 +441,17 @@
     }
 }
 
-/// What the scheduler `me` wants done next to drive the plan, where the consensus has it lead; at most one command
+/// What the scheduler `me`, in this life, wants done next to drive the plan, where the consensus has it lead; at most one command
 /// at a time, and the next only once that one is applied.
-pub fn next(plan: &Plan, now: u64, me: &str, seen: &Seen, rules: &Rules) -> Option<Command> {
+pub fn next(plan: &Plan, now: u64, (me, life): (&str, u64), seen: &Seen, rules: &Rules) -> Option<Command> {
     if plan.finished() {
         return None;
     }
-    let claim = Command::Claim { holder: me.to_owned(), now, lasts: rules.lease_ms };
+    let claim = Command::Claim { holder: me.to_owned(), life, now, lasts: rules.lease_ms };
+    let mine = |lease: &Lease| lease.holder == me && lease.life == life;
     let epoch = match &plan.lease {
-        Some(lease) if lease.holder != me && now < lease.until => return None,
-        Some(lease) if lease.holder == me && now < lease.until => {
+        Some(lease) if !mine(lease) && now < lease.until => return None,
+        Some(lease) if now < lease.until => {
             if lease.until - now < rules.lease_ms / 2 {
                 return Some(claim);
             }
@@ -511,7 +517,7 @@
     fn drive(plan: &mut Plan, now: u64, seen: &Seen) -> usize {
         let mut most = plan.out();
         for _ in 0..200 {
-            let Some(command) = next(plan, now, "n0", seen, &RULES) else { break };
+            let Some(command) = next(plan, now, ("n0", 1), seen, &RULES) else { break };
             plan.apply(&command).unwrap();
             most = most.max(plan.out());
             for name in &seen.must_confirm {
@@ -539,7 +545,7 @@
         assert_eq!(plan.machines[&node("c0")].stage, Stage::Asked);
         plan.apply(&Command::Done { machine: node("c0"), now: 1300 }).unwrap();
         assert!(plan.finished());
-        assert_eq!(next(&plan, 9000, "n0", &seen(), &RULES), None, "a lease claimed for nothing");
+        assert_eq!(next(&plan, 9000, ("n0", 1), &seen(), &RULES), None, "a lease claimed for nothing");
     }
 
     /// Guards against a machine that counts as out while a scheduler still sends to it, or whose place is given away
@@ -549,7 +555,7 @@
         let mut plan = Plan::default();
         plan.apply(&Command::Ask { machines: vec![node("a0")], now: 0 }).unwrap();
         for _ in 0..2 {
-            plan.apply(&next(&plan, 1, "n0", &seen(), &RULES).unwrap()).unwrap();
+            plan.apply(&next(&plan, 1, ("n0", 1), &seen(), &RULES).unwrap()).unwrap();
         }
         assert_eq!(plan.machines[&node("a0")].stage, Stage::Draining);
         let confirm = |by: &str, round| Command::Confirm { by: by.into(), machine: node("a0"), round };
@@ -557,10 +563,10 @@
         plan.apply(&confirm("n0", round)).unwrap();
         plan.apply(&confirm("n1", round)).unwrap();
         plan.apply(&confirm("n1", round)).unwrap();
-        assert_eq!(next(&plan, 2, "n0", &seen(), &RULES), None, "n2 has not said so");
+        assert_eq!(next(&plan, 2, ("n0", 1), &seen(), &RULES), None, "n2 has not said so");
         assert_eq!(plan.apply(&confirm("n2", round - 1)), Err(Refused::Moved("node/a0".into())));
         plan.apply(&confirm("n2", round)).unwrap();
-        plan.apply(&next(&plan, 3, "n0", &seen(), &RULES).unwrap()).unwrap();
+        plan.apply(&next(&plan, 3, ("n0", 1), &seen(), &RULES).unwrap()).unwrap();
         assert_eq!(plan.machines[&node("a0")].stage, Stage::Out);
         assert_eq!(plan.apply(&confirm("n0", round + 1)), Err(Refused::Moved("node/a0".into())));
     }
@@ -570,17 +576,23 @@
     fn an_old_epoch_moves_nothing_and_a_held_lease_is_not_given() {
         let mut plan = Plan::default();
         plan.apply(&Command::Ask { machines: vec![node("a0")], now: 0 }).unwrap();
-        let claim = |holder: &str, now| Command::Claim { holder: holder.into(), now, lasts: 1000 };
+        let claim = |holder: &str, now| Command::Claim { holder: holder.into(), life: 1, now, lasts: 1000 };
         plan.apply(&claim("n0", 0)).unwrap();
-        let old = next(&plan, 1, "n0", &seen(), &RULES).unwrap();
+        let old = next(&plan, 1, ("n0", 1), &seen(), &RULES).unwrap();
         let held = Refused::Held { holder: "n0".into(), until: 1000 };
         assert_eq!(plan.apply(&claim("n1", 999)), Err(held));
         plan.apply(&claim("n1", 1000)).unwrap();
         assert_eq!(plan.apply(&old), Err(Refused::OldEpoch { epoch: 1, now: 2 }));
-        assert_eq!(next(&plan, 1001, "n0", &seen(), &RULES), None, "n0 drives beside n1");
-        plan.apply(&next(&plan, 1001, "n1", &seen(), &RULES).unwrap()).unwrap();
+        assert_eq!(next(&plan, 1001, ("n0", 1), &seen(), &RULES), None, "n0 drives beside n1");
+        plan.apply(&next(&plan, 1001, ("n1", 1), &seen(), &RULES).unwrap()).unwrap();
         plan.apply(&claim("n1", 1400)).unwrap();
-        assert_eq!(plan.lease, Some(Lease { holder: "n1".into(), epoch: 2, until: 2400 }));
+        assert_eq!(plan.lease, Some(Lease { holder: "n1".into(), life: 1, epoch: 2, until: 2400 }));
+        // Another life of the holder waits as any other would, and gets another epoch.
+        let again = |now| Command::Claim { holder: "n1".into(), life: 2, now, lasts: 1000 };
+        assert!(plan.apply(&again(2399)).is_err());
+        assert_eq!(next(&plan, 2399, ("n1", 2), &seen(), &RULES), None);
+        plan.apply(&again(2400)).unwrap();
+        assert_eq!(plan.lease.as_ref().map(|lease| lease.epoch), Some(3));
     }
 
     /// Schedulers are taken out too, never below what must be left; bad names are told.
@@ -610,12 +622,13 @@
             let mut last = 0;
             for (who, now, lasts) in claims {
                 let holder = format!("n{who}");
-                let _ = plan.apply(&Command::Claim { holder, now, lasts });
+                let _ = plan.apply(&Command::Claim { holder, life: now % 2, now, lasts });
                 let lease = plan.lease.clone().unwrap();
                 proptest::prop_assert!(lease.epoch >= last);
                 last = lease.epoch;
-                let first = holders.entry(lease.epoch).or_insert(lease.holder.clone());
-                proptest::prop_assert_eq!(&*first, &lease.holder);
+                let holder = (lease.holder, lease.life);
+                let first = holders.entry(lease.epoch).or_insert(holder.clone());
+                proptest::prop_assert_eq!(&*first, &holder);
             }
         }
     }
--- a/peers/src/maintenance/model.rs
+++ b/peers/src/maintenance/model.rs
@@ -50,13 +50,15 @@
     truth: Plan,
     /// What each scheduler has applied; `None` while it is down.
     views: Vec<Option<Plan>>,
+    /// Which life each is in.
+    lives: Vec<u8>,
     /// Commands on their way to the log.
     way: BTreeSet<Command>,
     now: u64,
     crashes: u8,
     faults: u8,
     /// Who held each epoch.
-    holders: BTreeMap<u64, BTreeSet<String>>,
+    holders: BTreeMap<u64, BTreeSet<(String, u64)>>,
     /// A machine became out while a running scheduler still sent to it.
     undrained: bool,
 }
@@ -119,7 +121,8 @@
 
     fn decided(&self, world: &World, i: usize, healed: bool) -> Option<Command> {
         let seen = self.seen(i, healed);
-        match next(world.views[i].as_ref()?, world.now, &name(i), &seen, &self.rules)? {
+        let me = (&*name(i), u64::from(world.lives[i]));
+        match next(world.views[i].as_ref()?, world.now, me, &seen, &self.rules)? {
             // Nothing here waits for a time from a move on: leaving it out joins states that are alike.
             Command::Move { epoch, machine, round, to, .. } => {
                 Some(Command::Move { epoch, machine, round, to, now: 0 })
@@ -138,7 +141,8 @@
             return;
         }
         if let Some(lease) = &world.truth.lease {
-            world.holders.entry(lease.epoch).or_default().insert(lease.holder.clone());
+            let holder = (lease.holder.clone(), lease.life);
+            world.holders.entry(lease.epoch).or_default().insert(holder);
         }
         if let Command::Move { machine: Machine::Node(id), to: Stage::Out, .. } = command {
             let sends = |view: &Option<Plan>| view.as_ref().is_some_and(|view| !view.banned().contains(id));
@@ -149,8 +153,11 @@
     /// Whether the plan finishes from here, once nothing is lost any more and everyone is up.
     fn heals(&self, world: &World) -> bool {
         let mut world = world.clone();
-        for view in &mut world.views {
-            view.get_or_insert_with(Plan::default);
+        for (view, life) in world.views.iter_mut().zip(&mut world.lives) {
+            if view.is_none() {
+                *life += 1;
+                *view = Some(Plan::default());
+            }
         }
         for _ in 0..40 {
             for command in std::mem::take(&mut world.way) {
@@ -185,6 +192,7 @@
         vec![World {
             truth,
             views,
+            lives: vec![0; self.size.schedulers],
             way: BTreeSet::new(),
             now: 0,
             crashes: 0,
@@ -257,7 +265,10 @@
                 world.views[i] = None;
             }
             // It applies the log before it serves.
-            Step::Returns(i) => world.views[i] = Some(last.truth.clone()),
+            Step::Returns(i) => {
+                world.lives[i] += 1;
+                world.views[i] = Some(last.truth.clone());
+            }
             Step::Tick => world.now += 1,
         }
         Some(world)
