--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -178,7 +178,7 @@
         r#"
         kind = "fleet"
         about = "eight schedulers take out three nodes and one of themselves, one or two at a time"
-        seconds = 16.0
+        seconds = 20.0
         nodes = 4
         shards = 2
         known_list = true
--- a/fleet/src/scenario.rs
+++ b/fleet/src/scenario.rs
@@ -265,8 +265,13 @@
                 }
             }
             What::KillHolder => {
-                if let Some(i) = plan.and_then(PlanWatch::holder) {
-                    hall.kill(i).await;
+                // The plan is looked at ten times a second: its holder may not have been seen yet.
+                for _ in 0..100 {
+                    if let Some(i) = plan.and_then(PlanWatch::holder) {
+                        hall.kill(i).await;
+                        break;
+                    }
+                    tokio::time::sleep(Duration::from_millis(50)).await;
                 }
             }
             What::Ask { scheduler, machines } => {
