--- a/peers/src/maintenance/model.rs
+++ b/peers/src/maintenance/model.rs
@@ -34,7 +34,7 @@
 
 impl Size {
     /// The worlds that are walked together: commands that are delayed and overtake one another beside a crash, and
-    /// commands that are lost or come twice beside a crash. Both at once is more than a machine walks in minutes.
+    /// commands that are lost or come twice beside a crash.
     pub fn walked() -> [Size; 2] {
         [Size::default(), Size { under_way: 1, faults: 1, ..Size::default() }]
     }
