Take the plan's last decisions out of the driver; bear a foreign scheduler's number

Cause: a message of the membership that names a scheduler beyond the peers indexed past their list, which would have ended the scheduler; found by reading, not seen in a run. And who must confirm and when a drain is settled were decided in drive.rs, beside its I/O. Both are in decide.rs now, with a test (a_drain_is_settled_and_empty_and_the_gone_are_waited_for); unknown numbers are left out.

--- a/peers/src/agree.rs
+++ b/peers/src/agree.rs
@@ -367,14 +367,20 @@
 pub struct Way {
     caller: Caller,
     target: u64,
-    address: SocketAddr,
+    /// None where the log names a member that the operator's file does not.
+    address: Option<SocketAddr>,
 }
 
+/// The log names a scheduler that the operator's file does not.
+#[derive(Debug, thiserror::Error)]
+#[error("scheduler {0} is not among the peers")]
+struct NoSuchPeer(u64);
+
 impl RaftNetworkFactory<Agreed> for Ways {
     type Network = Way;
 
     async fn new_client(&mut self, target: u64, _: &BasicNode) -> Way {
-        Way { caller: self.caller.clone(), target, address: self.addresses[target as usize] }
+        Way { caller: self.caller.clone(), target, address: self.addresses.get(target as usize).copied() }
     }
 }
 
@@ -387,9 +393,12 @@
         A: DeserializeOwned,
         E: std::error::Error + DeserializeOwned,
     {
+        let Some(address) = self.address else {
+            return Err(RPCError::Unreachable(Unreachable::new(&NoSuchPeer(self.target))));
+        };
         let body =
             serde_json::to_vec(question).map_err(|error| RPCError::Network(NetworkError::new(&error)))?;
-        let answer = self.caller.call("POST", self.address, path, body, within).await;
+        let answer = self.caller.call("POST", address, path, body, within).await;
         let answer = answer.map_err(|error| match error {
             CallError::Connection(_) | CallError::Silent(_) => {
                 RPCError::Unreachable(Unreachable::new(&error))
--- a/peers/src/drive.rs
+++ b/peers/src/drive.rs
@@ -2,7 +2,9 @@
 //! No choice is made here: see [`crate::maintenance::decide`].
 
 use crate::agree::{Applied, Raft, SNAPSHOT_EACH, StateError, Store, Ways};
-use crate::maintenance::decide::{Command, Machine, Plan, Seen as Fleet, Stage, next, to_confirm};
+use crate::maintenance::decide::{
+    Command, Facts, Machine, Plan, Seen as Fleet, Sight, carried_out, next, to_confirm,
+};
 use crate::settings::PeerSettings;
 use crate::swim::{Known, Seen};
 use crate::wire::{CallError, Caller, MOST_BYTES};
@@ -180,9 +182,10 @@
                 }
             }
             Some(leader) => {
-                let address = self.settings.peers[leader as usize].address;
+                let peer =
+                    self.settings.peers.get(leader as usize).ok_or("the leader is none of the peers")?;
                 let body = serde_json::to_vec(&command).map_err(|error| error.to_string())?;
-                let answer = self.caller.call("POST", address, "/peers/command", body, PATIENCE).await;
+                let answer = self.caller.call("POST", peer.address, "/peers/command", body, PATIENCE).await;
                 let answer = answer.map_err(|error: CallError| error.to_string())?;
                 serde_json::from_slice(&answer).map_err(|error| error.to_string())
             }
@@ -190,22 +193,16 @@
     }
 
     fn fleet(&self, hands: &dyn Hands) -> Fleet {
-        let now = Instant::now();
-        let (mut must_confirm, mut alive) = (BTreeSet::new(), BTreeSet::new());
-        for (index, peer) in self.settings.peers.iter().enumerate() {
-            let seen = self.known.borrow().get(&index).copied();
-            let gone = match seen {
-                Some((Seen::Gone, since)) => now.duration_since(since) >= self.settings.forget,
-                _ => false,
+        let known = self.known.borrow();
+        let sights = self.settings.peers.iter().enumerate().map(|(index, peer)| {
+            let sight = match known.get(&index) {
+                Some((Seen::Alive, _)) => Sight::Alive,
+                Some((Seen::Gone, since)) => Sight::Gone { for_ms: since.elapsed().as_millis() as u64 },
+                Some((Seen::Suspect, _)) | None => Sight::Unsure,
             };
-            if !gone {
-                must_confirm.insert(peer.name.clone());
-            }
-            if matches!(seen, Some((Seen::Alive, _))) {
-                alive.insert(peer.name.clone());
-            }
-        }
-        Fleet { nodes: hands.nodes(), must_confirm, alive }
+            (peer.name.clone(), sight)
+        });
+        Fleet::new(hands.nodes(), sights, self.settings.forget.as_millis() as u64)
     }
 
     async fn drive(&self, hands: &dyn Hands) {
@@ -228,8 +225,9 @@
             }
             let plan = self.plan.borrow().clone();
             carry_out(&plan, &me, hands, &mut done);
-            let confirms =
-                to_confirm(&plan, &me, |machine, stage| carried(machine, stage, &me, hands, &done));
+            let confirms = to_confirm(&plan, &me, |machine, stage| {
+                carried_out(stage, &facts(machine, &me, hands, &done))
+            });
             for confirm in confirms {
                 if let Err(error) = self.say(confirm).await {
                     tracing::debug!(error, "not confirmed yet");
@@ -362,20 +360,16 @@
     }
 }
 
-/// Whether a stage is carried out here. An order to send that was given just before a ban is on its way for a
-/// moment: a node counts as drained only two looks later.
-fn carried(machine: &Machine, stage: Stage, me: &str, hands: &dyn Hands, done: &Done) -> bool {
-    let settled = |since: &Instant| since.elapsed() >= 2 * LOOK;
-    match (machine, stage) {
-        (Machine::Node(node), Stage::Draining) => {
-            done.banned.get(node).is_some_and(settled) && hands.in_hand(node) == 0
+/// What this scheduler has done about a machine.
+fn facts(machine: &Machine, me: &str, hands: &dyn Hands, done: &Done) -> Facts {
+    let for_ms = |since: &Instant| since.elapsed().as_millis() as u64;
+    match machine {
+        Machine::Node(node) => {
+            Facts { mine: true, away_ms: done.banned.get(node).map(for_ms), in_hand: hands.in_hand(node) }
         }
-        (Machine::Node(node), _) => !done.banned.contains_key(node),
-        (Machine::Scheduler(name), Stage::Draining) if name == me => {
-            done.out.as_ref().is_some_and(settled) && hands.open() == 0
+        Machine::Scheduler(name) => {
+            Facts { mine: name == me, away_ms: done.out.as_ref().map(for_ms), in_hand: hands.open() }
         }
-        (Machine::Scheduler(name), _) if name == me => done.out.is_none(),
-        (Machine::Scheduler(_), _) => true,
     }
 }
 
--- a/peers/src/maintenance/decide.rs
+++ b/peers/src/maintenance/decide.rs
@@ -416,6 +416,65 @@
     pub alive: BTreeSet<String>,
 }
 
+/// How a scheduler is seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sight {
+    /// It answers, or others say so.
+    Alive,
+    /// Suspected, or not heard of yet.
+    Unsure,
+    /// Gone.
+    Gone {
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
+}
+
+impl Seen {
+    /// What is seen, of the nodes that take work and each scheduler. One that is gone for `forget_ms` need not confirm:
+    /// until then it may only be cut off, and still send.
+    pub fn new(
+        nodes: BTreeMap<String, u32>,
+        sights: impl IntoIterator<Item = (String, Sight)>,
+        forget_ms: u64,
+    ) -> Self {
+        let mut seen = Seen { nodes, ..Seen::default() };
+        for (name, sight) in sights {
+            if sight == Sight::Alive {
+                seen.alive.insert(name.clone());
+            }
+            if !matches!(sight, Sight::Gone { for_ms } if for_ms >= forget_ms) {
+                seen.must_confirm.insert(name);
+            }
+        }
+        seen
+    }
+}
+
+/// An order to send that was given just before a ban is on its way for a moment: what is away counts as drained only
+/// after so long, in milliseconds.
+pub const SETTLE_MS: u64 = 100;
+
+/// What a scheduler has done about a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Facts {
+    /// It has something to do with it: a node, or itself.
+    pub mine: bool,
+    /// For how long nothing new goes there from here; `None` where it is taken.
+    pub away_ms: Option<u64>,
+    /// What is open there.
+    pub in_hand: usize,
+}
+
+/// Whether a stage is carried out at a scheduler, by what it has done.
+pub fn carried_out(stage: Stage, facts: &Facts) -> bool {
+    match stage {
+        _ if !facts.mine => true,
+        Stage::Draining => facts.away_ms.is_some_and(|ms| ms >= SETTLE_MS) && facts.in_hand == 0,
+        _ => facts.away_ms.is_none(),
+    }
+}
+
 /// Whether a machine may be taken out now, beside those that are out already.
 pub fn safe(plan: &Plan, machine: &Machine, seen: &Seen, rules: &Rules) -> bool {
     if plan.out() >= rules.limit {
@@ -611,6 +670,27 @@
         assert_eq!(serde_json::from_str::<Plan>(&text).unwrap(), plan);
     }
 
+    /// Guards against a drain confirmed while something is left in hand or just given, and a scheduler that is only cut
+    /// off forgotten at once.
+    #[test]
+    fn a_drain_is_settled_and_empty_and_the_gone_are_waited_for() {
+        let facts = |away_ms, in_hand| Facts { mine: true, away_ms, in_hand };
+        let drained = |facts| carried_out(Stage::Draining, &facts);
+        assert!(!drained(facts(None, 0)) && !drained(facts(Some(99), 0)) && !drained(facts(Some(500), 1)));
+        assert!(drained(facts(Some(100), 0)) && drained(Facts { mine: false, ..facts(None, 3) }));
+        assert!(
+            !carried_out(Stage::Returning, &facts(Some(500), 0))
+                && carried_out(Stage::Returning, &facts(None, 7))
+        );
+        let sights = [("n0", Sight::Alive), ("n1", Sight::Unsure), ("n2", Sight::Gone { for_ms: 999 })];
+        let sights = sights.map(|(name, sight)| (name.to_owned(), sight));
+        let seen = |forget| Seen::new(BTreeMap::new(), sights.clone(), forget);
+        assert_eq!(
+            (seen(1000).alive.len(), seen(1000).must_confirm.len(), seen(999).must_confirm.len()),
+            (1, 3, 2)
+        );
+    }
+
     proptest::proptest! {
         /// Whatever comes in whatever order, one epoch never has two holders and no epoch is given twice.
         #[test]
--- a/peers/src/swim.rs
+++ b/peers/src/swim.rs
@@ -96,7 +96,9 @@
             tracing::debug!(%error, "swim");
         }
         while let Some((to, data)) = runtime.to_send() {
-            let (caller, address) = (caller.clone(), settings.peers[usize::from(to.index)].address);
+            // A message may name a scheduler that is none of the peers: nothing goes there.
+            let Some(peer) = settings.peers.get(usize::from(to.index)) else { continue };
+            let (caller, address) = (caller.clone(), peer.address);
             tokio::spawn(async move {
                 let _ = caller.call("POST", address, "/peers/swim", data, PATIENCE).await;
             });
