--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -423,12 +423,7 @@
             let naive = rehearse(&pointcross_fleet::scenario::naive(&scenario), &plain).await;
             let (naive, _) = naive.map_err(|error| error.to_string())?;
             holds &= naive.rules_hold();
-            let naive = serde_json::to_value(&naive).map_err(|error| error.to_string())?;
-            for (key, value) in naive.as_object().into_iter().flatten() {
-                if key != "schedulers" {
-                    told[format!("naive_{key}")] = value.clone();
-                }
-            }
+            beside(&mut told, &naive)?;
         }
         told["wall_s"] = json!(begun.elapsed().as_secs_f64());
         told["answers_by_second"] = json!(series.answers);
@@ -500,12 +495,7 @@
         if !self.no_naive {
             let naive = played(&pointcross_fleet::scenario::naive(scenario))?;
             holds &= naive.rules_hold();
-            let naive = serde_json::to_value(&naive).map_err(|error| error.to_string())?;
-            for (key, value) in naive.as_object().into_iter().flatten() {
-                if key != "schedulers" {
-                    told[format!("naive_{key}")] = value.clone();
-                }
-            }
+            beside(&mut told, &naive)?;
         }
         told["wall_s"] = json!(begun.elapsed().as_secs_f64());
         told["peak_mb"] = json!(peak_mb());
@@ -514,6 +504,15 @@
     }
 }
 
+/// Adds a naive run's figures to those of the run it stands beside.
+fn beside(told: &mut serde_json::Value, naive: &pointcross_fleet::Verdict) -> Result<(), String> {
+    let naive = serde_json::to_value(naive).map_err(|error| error.to_string())?;
+    for (key, value) in naive.as_object().into_iter().flatten().filter(|(key, _)| *key != "schedulers") {
+        told[format!("naive_{key}")] = value.clone();
+    }
+    Ok(())
+}
+
 fn fleet_page(
     about: &str,
     told: &serde_json::Value,
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -1,7 +1,30 @@
 //! Eight real processes of the program before stand-in nodes and a list service, with faults between them.
 
-use pointcross_fleet::HallSettings;
+use pointcross_fleet::ledger::Series;
 use pointcross_fleet::scenario::{Scenario, rehearse};
+use pointcross_fleet::{HallSettings, Verdict};
+
+/// Plays a scenario with so many processes in a folder of this name; the rules hold whatever it is.
+fn played(name: &str, scenario: &Scenario, schedulers: usize, seed: u64) -> (Verdict, Series) {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    let settings = HallSettings {
+        program: env!("CARGO_BIN_EXE_pointcross").into(),
+        folder,
+        schedulers,
+        nodes: scenario.nodes,
+        node: scenario.node.clone(),
+        operator: None,
+        known_list: scenario.known_list,
+        seed,
+        shards: None,
+        maintenance: None,
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
+    let (verdict, series) = runtime.block_on(rehearse(scenario, &settings)).unwrap();
+    assert!(verdict.rules_hold(), "{verdict:?}");
+    (verdict, series)
+}
 
 /// Guards against a fleet that loses requests, doubles writes or crashes when links drop and slow, a scheduler is
 /// killed and started again and the list service is down for a while: every request gets one final answer.
@@ -49,23 +72,7 @@
         "#,
     )
     .unwrap();
-    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("fleet-eight");
-    let _ = std::fs::remove_dir_all(&folder);
-    let settings = HallSettings {
-        program: env!("CARGO_BIN_EXE_pointcross").into(),
-        folder,
-        schedulers: 8,
-        nodes: 4,
-        node: Default::default(),
-        operator: None,
-        known_list: true,
-        seed: 1311,
-        shards: None,
-        maintenance: None,
-    };
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    let (verdict, _) = runtime.block_on(rehearse(&scenario, &settings)).unwrap();
-    assert!(verdict.rules_hold(), "{verdict:?}");
+    let (verdict, _) = played("fleet-eight", &scenario, 8, 1311);
     assert!(verdict.sent > 1000 && verdict.served_share > 0.7, "{verdict:?}");
 }
 
@@ -81,27 +88,7 @@
         )
     };
     let paced = "[operator.list_calls]\nspread_ms = 5000\nbudget = 4\nwindow_ms = 20000\nhold_ms = 20000\n";
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    let play = |name: &str, scenario: String| {
-        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-        let _ = std::fs::remove_dir_all(&folder);
-        let settings = HallSettings {
-            program: env!("CARGO_BIN_EXE_pointcross").into(),
-            folder,
-            schedulers: 12,
-            nodes: 2,
-            node: Default::default(),
-            operator: None,
-            known_list: false,
-            seed: 5,
-            shards: None,
-            maintenance: None,
-        };
-        let (verdict, _) =
-            runtime.block_on(rehearse(&Scenario::parse(&scenario).unwrap(), &settings)).unwrap();
-        assert!(verdict.rules_hold(), "{verdict:?}");
-        verdict
-    };
+    let play = |name: &str, scenario: String| played(name, &Scenario::parse(&scenario).unwrap(), 12, 5).0;
     let naive = play("fleet-naive", text(false, ""));
     let spread = play("fleet-paced", text(true, paced));
     assert!(naive.list_peak_per_s >= 12, "{naive:?}");
@@ -142,28 +129,9 @@
         "#,
     )
     .unwrap();
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    let play = |name: &str, scenario: &Scenario| {
-        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-        let _ = std::fs::remove_dir_all(&folder);
-        let settings = HallSettings {
-            program: env!("CARGO_BIN_EXE_pointcross").into(),
-            folder,
-            schedulers: 12,
-            nodes: 2,
-            node: Default::default(),
-            operator: None,
-            known_list: false,
-            seed: 1311,
-            shards: None,
-            maintenance: None,
-        };
-        let (verdict, _) = runtime.block_on(rehearse(scenario, &settings)).unwrap();
-        assert!(verdict.rules_hold(), "{verdict:?}");
-        verdict
-    };
-    let ramped = play("fleet-ramped", &scenario);
-    let plain = play("fleet-unramped", &Scenario { operator: None, ..scenario.clone() });
+    let (ramped, _) = played("fleet-ramped", &scenario, 12, 1311);
+    let plain = Scenario { operator: None, ..scenario.clone() };
+    let (plain, _) = played("fleet-unramped", &plain, 12, 1311);
     println!("{ramped:?}\n{plain:?}");
     assert!(plain.node_overloads > 50, "{plain:?}");
     assert!(ramped.node_overloads * 10 < plain.node_overloads, "{ramped:?} against {plain:?}");
@@ -224,25 +192,9 @@
         "#,
     )
     .unwrap();
-    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("fleet-plan");
-    let _ = std::fs::remove_dir_all(&folder);
-    let settings = HallSettings {
-        program: env!("CARGO_BIN_EXE_pointcross").into(),
-        folder,
-        schedulers: 8,
-        nodes: 4,
-        node: Default::default(),
-        operator: None,
-        known_list: true,
-        seed: 1311,
-        shards: None,
-        maintenance: None,
-    };
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
-    let (verdict, series) = runtime.block_on(rehearse(&scenario, &settings)).unwrap();
+    let (verdict, series) = played("fleet-plan", &scenario, 8, 1311);
     let plan = series.plan.expect("the schedulers hold a plan");
     println!("{verdict:?}\n{plan:?}");
-    assert!(verdict.rules_hold(), "{verdict:?}");
     assert!(verdict.served_share > 0.95, "{verdict:?}");
     assert_eq!((plan.asked, plan.taken_out), (4, 4), "{plan:?}");
     assert!(plan.max_out_at_once >= 1 && plan.max_out_at_once <= 2, "{plan:?}");
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -53,9 +53,10 @@
     Ok(svg)
 }
 
-fn over_time(seconds: &[[u32; 4]]) -> Result<String, Box<dyn Error>> {
+/// Bars by the second, each of parts that stand on one another in these colours.
+fn stacked(seconds: &[Vec<u64>], colors: &[RGBColor], what: &str) -> Result<String, Box<dyn Error>> {
     let mut svg = String::new();
-    let most = seconds.iter().map(|counts| counts.iter().sum::<u32>()).max().unwrap_or(1).max(1);
+    let most = seconds.iter().map(|parts| parts.iter().sum::<u64>()).max().unwrap_or(1).max(1);
     {
         let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         root.fill(&WHITE)?;
@@ -65,16 +66,14 @@
             .margin_right(20)
             .margin_top(10)
             .build_cartesian_2d(0.0..seconds.len().max(1) as f64, 0..most + most / 10 + 1)?;
-        chart.configure_mesh().x_desc("seconds").y_desc("answers a second").light_line_style(WHITE).draw()?;
-        // Stacked: served at the bottom, then refused, then failed and lost.
-        for (second, counts) in seconds.iter().enumerate() {
+        chart.configure_mesh().x_desc("seconds").y_desc(what).light_line_style(WHITE).draw()?;
+        for (second, parts) in seconds.iter().enumerate() {
             let (from, to) = (second as f64 + 0.05, second as f64 + 0.95);
             let mut base = 0;
-            for (count, color) in [(counts[0], SERVED), (counts[1], REFUSED), (counts[2] + counts[3], FAILED)]
-            {
-                let bar = Rectangle::new([(from, base), (to, base + count)], color.filled());
+            for (&part, color) in parts.iter().zip(colors) {
+                let bar = Rectangle::new([(from, base), (to, base + part)], color.filled());
                 chart.draw_series(std::iter::once(bar))?;
-                base += count;
+                base += part;
             }
         }
         root.present()?;
@@ -82,6 +81,14 @@
     Ok(svg)
 }
 
+fn over_time(seconds: &[[u32; 4]]) -> Result<String, Box<dyn Error>> {
+    // Served at the bottom, then refused, then failed and lost.
+    let parts = |&[served, refused, failed, lost]: &[u32; 4]| vec![served, refused, failed + lost];
+    let bars: Vec<Vec<u64>> =
+        seconds.iter().map(|second| parts(second).into_iter().map(u64::from).collect()).collect();
+    stacked(&bars, &[SERVED, REFUSED, FAILED], "answers a second")
+}
+
 /// Jobs in each node over time: a row a node, the darker the more.
 fn inflight(held: &[Vec<u32>]) -> Result<String, Box<dyn Error>> {
     let mut svg = String::new();
@@ -149,25 +156,8 @@
 }
 
 fn calls(list_calls: &[u64]) -> Result<String, Box<dyn Error>> {
-    let mut svg = String::new();
-    let most = list_calls.iter().copied().max().unwrap_or(1).max(1);
-    {
-        let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        root.fill(&WHITE)?;
-        let mut chart = ChartBuilder::on(&root)
-            .set_label_area_size(LabelAreaPosition::Left, 60)
-            .set_label_area_size(LabelAreaPosition::Bottom, 30)
-            .margin_right(20)
-            .margin_top(10)
-            .build_cartesian_2d(0.0..list_calls.len().max(1) as f64, 0..most + most / 10 + 1)?;
-        chart.configure_mesh().x_desc("seconds").y_desc("calls a second").light_line_style(WHITE).draw()?;
-        let bars = list_calls.iter().enumerate().map(|(second, &calls)| {
-            Rectangle::new([(second as f64 + 0.05, 0), (second as f64 + 0.95, calls)], TROUBLE.filled())
-        });
-        chart.draw_series(bars)?;
-        root.present()?;
-    }
-    Ok(svg)
+    let bars: Vec<Vec<u64>> = list_calls.iter().map(|&calls| vec![calls]).collect();
+    stacked(&bars, &[TROUBLE], "calls a second")
 }
 
 const STYLE: &str = "body{font:15px sans-serif;max-width:960px;margin:2em auto;color:#222}h2{margin-top:1.6em}\
--- a/peers/src/swim.rs
+++ b/peers/src/swim.rs
@@ -131,3 +131,42 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::maintenance::decide::Rules;
+    use crate::settings::Peer;
+
+    /// Guards against a message that names a scheduler beyond the peers, or no message at all, ending the program: the
+    /// answer to the first would have gone to a peer that is not there.
+    #[tokio::test]
+    async fn messages_of_foreigners_and_noise_end_nothing() {
+        let settings = PeerSettings {
+            me: 0,
+            peers: vec![Peer { name: "n0".into(), address: "127.0.0.1:9".parse().unwrap() }],
+            listen: "127.0.0.1:9".parse().unwrap(),
+            state: "/nowhere".into(),
+            rules: Rules { limit: 1, lease_ms: 1, work_ms: None, nodes_left: 1, schedulers_left: 1 },
+            forget: Duration::from_secs(1),
+            election: Duration::from_secs(1),
+            seed: 1,
+        };
+        let config = Config::new_lan(NonZeroU32::MIN);
+        let foreign = Life { index: 9, life: 1 };
+        let mut foca = Foca::new(foreign, config, SmallRng::seed_from_u64(1), PostcardCodec);
+        let mut runtime = AccumulatingRuntime::new();
+        foca.announce(Life { index: 0, life: 0 }, &mut runtime).unwrap();
+        let (_, announced) = runtime.to_send().unwrap();
+        let (messages, inbound) = mpsc::channel(1);
+        let (known, _) = watch::channel(Known::new());
+        let running = tokio::spawn(run(settings, Caller::default(), inbound, known));
+        for message in [announced, Bytes::from_static(b"\xff\xff noise"), Bytes::new()] {
+            messages.send(message).await.expect("the membership has ended");
+        }
+        // There is room for another only when the last one was taken; what ends by it ends the task.
+        drop(messages.reserve().await.expect("the membership has ended"));
+        tokio::task::yield_now().await;
+        assert!(!running.is_finished(), "a message ended the membership");
+    }
+}
