Take the maintenance plan's calls at the operators' door of any scheduler

Need: operators use the door; the plan's calls were at a listener of its own and the command line only. Change: GET /control/maintenance, PUT /control/maintenance/storage-nodes/ID/out and /done, the same for schedulers/NAME; each answered within the door's 0.9 s, 404 where no plan is held, 503 where none can be agreed now. The ways in share one ask and done. Test the_door_asks_for_maintenance_and_the_last_node_of_a_shard_stays; it fails with the rule on the last node weakened by one.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -194,6 +194,7 @@
             core.restore_bans(peers.banned());
         }
         let service = ops::Service::default();
+        let plan = peers.as_ref().map(pointcross_peers::drive::Bound::peers);
         let hands = maintenance::AtHand::new(core.clone(), service.clone());
         let peering = async move {
             match peers {
@@ -246,7 +247,7 @@
         ));
         let service2 = service.clone();
         let classes = config.front_classes().into_iter().map(|class| class.name).collect();
-        let door = Arc::new(ops::Door::new(core.clone(), front.clone(), service, classes, bans));
+        let door = Arc::new(ops::Door::new(core.clone(), front.clone(), service, classes, bans, plan));
         // Without a door this never ends: it must not end the program's run.
         let door = async move {
             match ops {
--- a/daemon/src/ops/decide.rs
+++ b/daemon/src/ops/decide.rs
@@ -1,6 +1,7 @@
 //! The door's decisions, without sockets: which call a request is, what is wrong with it, and the counters'
 //! text. Guards against a door that does what a malformed call seems to say.
 
+use pointcross_peers::maintenance::decide::Machine;
 use std::fmt::Write;
 
 /// Where the door's calls begin.
@@ -23,6 +24,12 @@
     OutOfService,
     /// `PUT /control/in-service`: take clients again.
     InService,
+    /// `GET /control/maintenance`: the plan that the schedulers hold together.
+    Plan,
+    /// `PUT /control/maintenance/storage-nodes/ID/out` or `.../schedulers/NAME/out`: have it taken out in its turn.
+    Ask(Machine),
+    /// The same with `done`: its work is done.
+    Done(Machine),
 }
 
 /// Why a request is no call of the door's, with the status it is answered with.
@@ -42,7 +49,7 @@
         wanted: &'static str,
     },
     /// The storage node id is empty, too long or has characters no id has.
-    #[error("storage node id {0:?}: wanted 1 to 128 letters, digits or . _ - :")]
+    #[error("id {0:?}: wanted 1 to 128 letters, digits or . _ - :")]
     Id(String),
     /// A body came with a call that takes none.
     #[error("body: the door's calls take none")]
@@ -72,6 +79,12 @@
             let id = checked_id(id)?;
             (if *turn == "offline" { Call::Offline(id) } else { Call::Online(id) }, "PUT")
         }
+        ["maintenance"] => (Call::Plan, "GET"),
+        ["maintenance", kind @ ("storage-nodes" | "schedulers"), id, turn @ ("out" | "done")] => {
+            let id = checked_id(id)?;
+            let machine = if *kind == "schedulers" { Machine::Scheduler(id) } else { Machine::Node(id) };
+            (if *turn == "out" { Call::Ask(machine) } else { Call::Done(machine) }, "PUT")
+        }
         _ => return Err(Wrong::Path(path.to_owned())),
     };
     if method != wanted {
@@ -158,6 +171,20 @@
         assert_eq!(route("PUT", "/control/storage-nodes/s-1/online", false), Ok(Call::Online("s-1".into())));
     }
 
+    #[test]
+    fn the_plans_calls_name_a_node_or_a_scheduler() {
+        let out = |path: &str| route("PUT", path, false);
+        let node = Machine::Node("s-1".into());
+        assert_eq!(out("/control/maintenance/storage-nodes/s-1/out"), Ok(Call::Ask(node.clone())));
+        assert_eq!(out("/control/maintenance/storage-nodes/s-1/done"), Ok(Call::Done(node)));
+        let scheduler = Machine::Scheduler("n3".into());
+        assert_eq!(out("/control/maintenance/schedulers/n3/out"), Ok(Call::Ask(scheduler)));
+        assert_eq!(route("GET", "/control/maintenance", false), Ok(Call::Plan));
+        assert_eq!(out("/control/maintenance").unwrap_err().status(), 405);
+        assert_eq!(out("/control/maintenance/racks/7/out").unwrap_err().status(), 404);
+        assert_eq!(out("/control/maintenance/schedulers/a%20b/out"), Err(Wrong::Id("a%20b".into())));
+    }
+
     /// Guards against a door that acts on what it cannot read: each of these changes nothing and says why.
     #[test]
     fn what_is_wrong_is_named_with_a_4xx() {
--- a/daemon/src/ops/mod.rs
+++ b/daemon/src/ops/mod.rs
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use pointcross_core::Core;
+use pointcross_peers::drive::Peers;
 use std::convert::Infallible;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -125,6 +126,8 @@
     service: Service,
     classes: Vec<String>,
     bans: Option<PathBuf>,
+    /// The other schedulers, where the operator's file names them.
+    peers: Option<Arc<Peers>>,
 }
 
 impl Door {
@@ -135,8 +138,9 @@
         service: Service,
         classes: Vec<String>,
         bans: Option<PathBuf>,
+        peers: Option<Arc<Peers>>,
     ) -> Self {
-        Door { core, front, service, classes, bans }
+        Door { core, front, service, classes, bans, peers }
     }
 
     /// The figures now.
@@ -161,7 +165,7 @@
     }
 
     /// Carries out one call; gives the status and the text of the answer.
-    pub fn act(&self, call: Call) -> (StatusCode, String) {
+    pub async fn act(&self, call: Call) -> (StatusCode, String) {
         match call {
             Call::Ready if self.front.is_ready() => (StatusCode::OK, "ready\n".into()),
             Call::Ready => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
@@ -176,6 +180,18 @@
                 tracing::info!("in service: clients are taken again");
                 (StatusCode::OK, "in service\n".into())
             }
+            Call::Plan => match &self.peers {
+                Some(peers) => (StatusCode::OK, peers.plan_text() + "\n"),
+                None => no_plan(),
+            },
+            Call::Ask(machine) => match &self.peers {
+                Some(peers) => settled(peers.ask(vec![machine]).await),
+                None => no_plan(),
+            },
+            Call::Done(machine) => match &self.peers {
+                Some(peers) => settled(peers.done(machine).await),
+                None => no_plan(),
+            },
             Call::Offline(id) => self.turn(&id, true),
             Call::Online(id) => self.turn(&id, false),
         }
@@ -203,7 +219,7 @@
             _ => true,
         };
         let (status, text) = match decide::route(head.method.as_str(), head.uri.path(), body) {
-            Ok(call) => self.act(call),
+            Ok(call) => self.act(call).await,
             Err(wrong) => (
                 StatusCode::from_u16(wrong.status()).unwrap_or(StatusCode::BAD_REQUEST),
                 format!("{wrong}\n"),
@@ -217,6 +233,17 @@
     }
 }
 
+fn no_plan() -> (StatusCode, String) {
+    (StatusCode::NOT_FOUND, "maintenance: this scheduler holds no plan with others\n".into())
+}
+
+fn settled(said: Result<Vec<u8>, (StatusCode, String)>) -> (StatusCode, String) {
+    match said {
+        Ok(text) => (StatusCode::OK, String::from_utf8_lossy(&text).into_owned()),
+        Err((status, text)) => (status, format!("{text}\n")),
+    }
+}
+
 /// Accepts the door's connections for as long as the program runs.
 pub async fn accept(listener: TcpListener, door: Arc<Door>) {
     let places = Arc::new(Semaphore::new(MOST));
--- a/daemon/tests/ops.rs
+++ b/daemon/tests/ops.rs
@@ -1,8 +1,11 @@
 //! The operators' door on loopback: its calls, its counters against the stand-in node's own count, bans, and
 //! sending clients away.
 
+use pointcross_peers::maintenance::decide::Rules;
+use pointcross_peers::settings::{Peer, PeerSettings};
 use pointcross_rig::*;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -107,3 +110,59 @@
     assert_eq!(call(door, "GET", "/control/ready").await.status(), 200);
     assert_eq!(exchange(&mut connect(running.http).await, ready.as_bytes()).await.unwrap().status(), 200);
 }
+
+/// Guards against a plan that cannot be reached from the door, takes the last node of a shard out, or takes in a
+/// scheduler that is none of the peers; and where the operator's file has no plan, the door says so.
+#[tokio::test]
+async fn the_door_asks_for_maintenance_and_the_last_node_of_a_shard_stays() {
+    let (running, _) = door_running().await;
+    let none = call(running.ops.unwrap(), "GET", "/control/maintenance").await;
+    assert_eq!(none.status(), 404);
+    let (store, _) = store(|_, _| ok("")).await;
+    let (discovery, _) = stand_in(|_| async { Deed::Silence }).await;
+    let mut config = config(store, discovery, "");
+    config.ops = Some("127.0.0.1:0".parse().unwrap());
+    let folder = std::env::temp_dir().join(format!("pointcross-door-plan-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let me = Peer { name: config.name.clone(), address: "127.0.0.1:9".parse().unwrap() };
+    config.maintenance = Some(PeerSettings {
+        me: 0,
+        peers: vec![me],
+        listen: "127.0.0.1:0".parse().unwrap(),
+        state: folder.join("plan"),
+        rules: Rules { limit: 1, lease_ms: 1000, work_ms: None, nodes_left: 1, schedulers_left: 1 },
+        forget: Duration::from_secs(1),
+        election: Duration::from_millis(50),
+        seed: 1,
+    });
+    let running = Running::with(config).await;
+    let door = running.ops.unwrap();
+    // Until one is elected there is nobody to agree with: each no comes in time.
+    let asked = async |path: &str| {
+        loop {
+            let answer = call(door, "PUT", path).await;
+            if answer.status() != 503 {
+                return answer.status();
+            }
+            tokio::task::yield_now().await;
+        }
+    };
+    assert_eq!(asked("/control/maintenance/schedulers/n99/out").await, 404);
+    assert_eq!(asked("/control/maintenance/storage-nodes/s-1/out").await, 200);
+    let plan = async || String::from_utf8(call(door, "GET", "/control/maintenance").await.body).unwrap();
+    // A lease is renewed only after half of it, so that the holder has looked at the machine by then, and left it.
+    let until = async || {
+        let plan: serde_json::Value = serde_json::from_str(&plan().await).unwrap();
+        plan["plan"]["lease"]["until"].as_u64()
+    };
+    let mut first = until().await;
+    while first.is_none() || until().await == first {
+        first = first.or(until().await);
+        tokio::task::yield_now().await;
+    }
+    assert!(plan().await.contains("\"node/s-1\":{\"stage\":\"asked\""), "{}", plan().await);
+    assert_eq!(asked("/control/maintenance/storage-nodes/s-1/done").await, 200);
+    assert!(plan().await.contains("\"node/s-1\":{\"stage\":\"back\""), "{}", plan().await);
+    assert_eq!(asked("/control/maintenance/storage-nodes/s-2/done").await, 409);
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/peers/src/drive.rs
+++ b/peers/src/drive.rs
@@ -28,8 +28,9 @@
 
 /// How often a scheduler looks whether something is to be carried out or confirmed.
 const LOOK: Duration = Duration::from_millis(50);
-/// How long a command may take to be agreed before it is given up; what is still wanted is said again.
-const PATIENCE: Duration = Duration::from_millis(1000);
+/// How long a command may take to be agreed before it is given up; what is still wanted is said again. Under the 0.9 s
+/// in which the operators' door answers whatever happens.
+const PATIENCE: Duration = Duration::from_millis(700);
 /// Connections of the others and of operators at once.
 const MOST_CONNECTIONS: usize = 256;
 /// Messages of the membership that wait; one more is dropped, as a full network would.
@@ -150,6 +151,11 @@
         self.peers.plan.borrow().banned()
     }
 
+    /// The peers, for the operators' door.
+    pub fn peers(&self) -> Arc<Peers> {
+        self.peers.clone()
+    }
+
     /// Talks with the others and carries the plan out for as long as the program runs.
     pub async fn run(self, hands: Arc<dyn Hands>) {
         let Bound { peers, listener, inbound, known } = self;
@@ -295,20 +301,13 @@
             ("GET", "/maintenance/plan") => Ok(json(&self.told())),
             ("POST", "/maintenance/ask") => {
                 let Named { machines } = read(&body)?;
-                let schedulers: BTreeSet<_> = self.settings.peers.iter().map(|peer| &peer.name).collect();
-                let unknown = machines.iter().find(
-                    |machine| matches!(machine, Machine::Scheduler(name) if !schedulers.contains(name)),
-                );
-                if let Some(machine) = unknown {
-                    return Err((StatusCode::NOT_FOUND, format!("machines: {machine}: no such scheduler")));
-                }
-                self.asked(Command::Ask { machines, now: crate::unix_ms() }).await
+                self.ask(machines).await
             }
             ("POST", "/maintenance/done") => {
                 let Named { machines } = read(&body)?;
                 let mut last = Ok(Vec::new());
                 for machine in machines {
-                    last = self.asked(Command::Done { machine, now: crate::unix_ms() }).await;
+                    last = self.done(machine).await;
                     if last.is_err() {
                         break;
                     }
@@ -322,6 +321,34 @@
         }
     }
 
+    /// Operators ask for machines to be taken out.
+    ///
+    /// # Errors
+    /// The status and why: an unknown scheduler, a full plan, or no agreement.
+    pub async fn ask(&self, machines: Vec<Machine>) -> Result<Vec<u8>, (StatusCode, String)> {
+        let schedulers: BTreeSet<_> = self.settings.peers.iter().map(|peer| &peer.name).collect();
+        let unknown = machines
+            .iter()
+            .find(|machine| matches!(machine, Machine::Scheduler(name) if !schedulers.contains(name)));
+        if let Some(machine) = unknown {
+            return Err((StatusCode::NOT_FOUND, format!("machines: {machine}: no such scheduler")));
+        }
+        self.asked(Command::Ask { machines, now: crate::unix_ms() }).await
+    }
+
+    /// Operators say that a machine's work is done.
+    ///
+    /// # Errors
+    /// The status and why: a machine that is not in the plan, or no agreement.
+    pub async fn done(&self, machine: Machine) -> Result<Vec<u8>, (StatusCode, String)> {
+        self.asked(Command::Done { machine, now: crate::unix_ms() }).await
+    }
+
+    /// The plan as this scheduler knows it, as JSON.
+    pub fn plan_text(&self) -> String {
+        serde_json::to_string(&self.told()).expect("these types are JSON")
+    }
+
     async fn asked(&self, command: Command) -> Result<Vec<u8>, (StatusCode, String)> {
         match self.say(command).await {
             Ok(Applied { refused: None }) => Ok(b"agreed\n".to_vec()),
