Tell a change within 6 s after any failed call; keep a cold node's budget under any fleet

Cause, list: a silent watch was noticed after 4.8 s (HOLD 4 s + LATE 0.8 s), then the module waited 2.5 to 7.5 s in a large fleet and up to 7.5 s after repeated failures (brain.rs, list(): ask_within / 2), and a fresh host's first call came after up to 5 s; patience for a whole list was discovery's own 2 s, so calls were given up as they were done. Cause, cold nodes: brain.rs cold_wait() let chance grow with the node's power, 109 units a window where 61 are allowed; debts of restarted processes were paid within the window in which they wait; light calls counted by units.

What a fleet sends a cold node is the most whose 2.5 deviations fit into N + 2 x root of N + 2 calls and N + 3 x root of N + 3 in work; first debts lie side by side by host.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,9 +36,11 @@
 /// The first wait before the list is asked for again, as a part of the tightest aim: what an answer that was
 /// lost would have told counts as told two seconds after it was due.
 const ASK_AGAIN_PART: f64 = 0.5;
-/// The time between two hosts' calls for the list, in milliseconds, where all may call together: discovery
-/// does about twenty calls a second, and one that it does after the caller has left costs it as much.
+/// The time between two hosts' calls for the list, in milliseconds, where all may call together.
 const CALL_GAP: f64 = 50.0;
+/// The longest wait after a failed call for the list, in milliseconds; before the first, four of it. A change
+/// counts as told after 6 s: two calls that fall silent (2.1 s each) and this twice leave half a second.
+const LONGEST_WAIT: f64 = 600.0;
 /// The longest wait between trials of a suspect node, in tightest aims.
 const TRIAL_CAP_AIMS: f64 = 8.0;
 /// What better arrivals leave of a rate is reckoned as this part at the least.
@@ -51,8 +53,8 @@
 /// 100 hosts 8 to 29 sent to a node, and it is the volumes on it that make this number, not the fleet.
 const SENDERS: f64 = 25.0;
 /// Standard deviations, of requests that come at random, by which what a fleet sends a cold node may pass its
-/// mean before the node falls over.
-const CHANCE: f64 = 3.0;
+/// mean and still be put down to chance.
+const CHANCE: f64 = 2.5;
 /// Volumes, or keys, remembered before idle ones are forgotten.
 const MOST_REMEMBERED: usize = 4096;
 /// The least time between two log lines.
@@ -310,24 +312,23 @@
 
     // ---- the list ----
 
-    /// The time in which every host may call for the list once; at the most half of what it may go unasked.
+    /// The time in which every host may call for the list once.
     fn turn_to_ask(&self) -> f64 {
-        (f64::from(self.settings.hosts) * CALL_GAP).min(self.settings.rules.ask_within / 2.0)
+        (f64::from(self.settings.hosts) * CALL_GAP).min(4.0 * LONGEST_WAIT)
     }
 
     /// The first wait after a call that failed. Guards against a fleet whose failed calls come back together
     /// and keep discovery busy with calls that end too late, so that nobody is ever told again.
     fn first_wait(&self) -> f64 {
-        (self.tightest_aim * ASK_AGAIN_PART).max(self.turn_to_ask())
+        (self.tightest_aim * ASK_AGAIN_PART).max(self.turn_to_ask()).min(LONGEST_WAIT)
     }
 
     fn list(&mut self, now: f64, kind: ListKind, entries: &[NodeEntry], actions: &mut Vec<Action>) {
         if kind == ListKind::Failed {
             // Asked in vain, or the subscription broke: ask again, later each time, hosts out of step.
             if self.settings.ask_for_list {
-                self.follow_at = Some(now + self.follow_wait * (0.5 + self.random()));
-                let longest = (self.settings.rules.ask_within / 2.0).max(self.follow_wait);
-                self.follow_wait = (self.follow_wait * 2.0).min(longest);
+                self.follow_at = Some(now + self.follow_wait * (0.5 + 0.5 * self.random()));
+                self.follow_wait = (self.follow_wait * 2.0).min(LONGEST_WAIT);
             }
             return;
         }
@@ -358,14 +359,19 @@
                     index
                 }
             };
-            let debt = self.random();
+            let (place, window) =
+                (f64::from(self.settings.host) + self.random(), self.settings.rules.fall_window);
+            // Hosts' debts lie side by side, from a place of the node's own, so that few first sends cluster.
+            let place = place / f64::from(self.settings.hosts.max(1)) + f64::from(entry.node.port) / 65_536.0;
             let node = &mut self.nodes[index];
             (node.zone, node.shard, node.state) = (entry.zone, entry.shard, entry.state);
             if entry.started.is_finite() && entry.started > node.started {
                 // A fresh process: what failed before says nothing of it.
                 node.started = entry.started;
                 node.failures = 0;
-                node.cold = Store { level: -self.settings.mean_units * debt, at: now };
+                // Debts run from the end of a predecessor's window, or all are paid within it.
+                let at = if entry.started <= self.born { now.max(self.born + window) } else { now };
+                node.cold = Store { level: -self.settings.mean_units * place.fract(), at };
             }
             let (ready, started) = (node.state == NodeState::Ready, node.started);
             let home = self.homes.entry(node.shard).or_insert(index);
@@ -873,13 +879,12 @@
     ///
     /// Where an even part of what the node bears is a request or more, what was sent within the window
     /// counts. Where it is less, each host pays off what it sent, at its part of the fleet's rate, before it
-    /// sends again; it starts with a random debt, lest hosts that hear of the node together send together.
+    /// sends again; it starts with a debt, lest hosts send together. A light request counts as a mean one.
     fn cold_wait(&mut self, now: f64, index: usize, units: f64, ahead: f64) -> f64 {
         let Some(bears) = self.cold_bears(now, index) else { return 0.0 };
         let (window, hosts) = (self.settings.rules.fall_window, f64::from(self.settings.hosts.max(1)));
         let (born, tick) = (self.born, self.settings.tick);
         let (mean, most) = (self.settings.mean_units, self.settings.most_units);
-        let units_at_first = self.settings.rules.cold_units;
         // Hosts are alike: as the part of the shards asked for here, so the part of the hosts there.
         let part = self.asked.len() as f64 / self.homes.len().max(1) as f64;
         let senders = (hosts * part).max(SENDERS).min(hosts);
@@ -888,19 +893,19 @@
         if node.started <= born && now <= born + window {
             return born + window + tick - now;
         }
+        node.cold_sends.retain(|&(at, _)| at >= now - window - tick);
         let even = bears / hosts;
         if even >= self.settings.mean_units {
-            let from = now - window - tick;
-            node.cold_sends.retain(|&(at, _)| at >= from);
             let sent: f64 = node.cold_sends.iter().map(|&(_, units)| units).sum();
-            return if sent + units > even { window } else { 0.0 };
-        }
-        // By chance the sum passes its mean, the less so the larger that is. `cold_units` is a mean that
-        // leaves room for so many deviations; as many are left once the node bears more.
-        let chance = CHANCE * (0.5 * (mean + most)).sqrt();
-        let room = (units_at_first.sqrt() + chance) * units_at_first.sqrt() * bears / units_at_first;
-        let mean = ((chance * chance + 4.0 * room).sqrt() - chance).powi(2) / 4.0;
-        let rate = mean / window * 1000.0 / senders;
+            return if sent + units.max(mean) > even { window } else { 0.0 };
+        }
+        // By chance the sum passes its mean. Over N calls, 2 x root of N and 2 more are put down to that, and
+        // the node falls at 3 x root of N and 3 more in work: so many deviations have to fit into either.
+        let fits = |times: f64, size: f64| {
+            let (room, chance) = (bears + times * ((bears * mean).sqrt() + mean), CHANCE * size.sqrt());
+            ((chance * chance + 4.0 * room).sqrt() - chance).powi(2) / 4.0
+        };
+        let rate = fits(2.0, mean).min(fits(3.0, 0.5 * (mean + most))) / window * 1000.0 / senders;
         let level = node.cold.fill(now, rate, 0.0);
         (ahead - level) / rate * 1000.0
     }
@@ -918,10 +923,9 @@
         node.out_units += units;
         node.outs.push_back((now, id, units));
         if cold {
-            let from = now - self.settings.rules.fall_window - self.settings.tick;
-            node.cold_sends.retain(|&(at, _)| at >= from);
-            node.cold_sends.push_back((now, units));
-            node.cold.level -= units;
+            let counted = units.max(self.settings.mean_units);
+            node.cold_sends.push_back((now, counted));
+            node.cold.level -= counted;
         }
         if !job.attempts.is_empty() && self.settings.rules.budget.is_some() {
             self.extra_sends.push_back(now);
