Have closes and the queue at a stop never wait outside the runtime

Read for loops that need not wait: client_stream.rs watch() and linger() waited for readiness in a loop where an end that stays told, with nothing to read, keeps the time bound from its turn; http.rs queued() accepted through std, outside the runtime, and made the socket non-blocking afterwards. Ruled out: the look for a successor sleeps, the module has no such loop.

Change: an end that was told ends either loop, each turn yields; the queue is read through the runtime's own listener.

--- a/daemon/src/client_stream.rs
+++ b/daemon/src/client_stream.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 
@@ -75,9 +75,7 @@
         let mut thrown = 0;
         loop {
             self.seat.until_asking().await;
-            if self.read.readable().await.is_err() {
-                return Sight::Gone;
-            }
+            let Ok(ready) = self.read.ready(Interest::READABLE).await else { return Sight::Gone };
             // The answer may have been written meanwhile: then what comes is hyper's to read.
             if !self.seat.asking() {
                 continue;
@@ -97,7 +95,10 @@
                         ahead.bytes.extend_from_slice(&chunk[..length]);
                     }
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                // An end that is told stays told: waiting for it again would never wait.
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && !ready.is_read_closed() => {
+                    tokio::task::yield_now().await;
+                }
                 Err(_) => return Sight::Gone,
             }
             if thrown >= TURN {
@@ -113,10 +114,12 @@
         self.seat.ended();
         let mut left = MOST_DRAINED;
         let drained = async {
-            while self.read.readable().await.is_ok() {
-                if !self.throw_away(&mut left) {
+            while let Ok(ready) = self.read.ready(Interest::READABLE).await {
+                if !self.throw_away(&mut left) || ready.is_read_closed() {
                     return;
                 }
+                // The bound in time has its turn, whatever this end of the connection tells.
+                tokio::task::yield_now().await;
             }
         };
         tokio::select! {
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -13,6 +13,7 @@
 use axum::routing::get;
 use axum::{Extension, Router};
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use hyper::server::conn::http1;
@@ -314,14 +315,15 @@
         () = shutdown.reached(Phase::Lingering) => {}
     }
     // Guards against resetting the clients that the system accepted and this loop did not come to yet.
-    let mut queue = queued(listener);
-    while let Some(stream) = waiting.take().or_else(|| queue.next()) {
+    // The runtime hears from the listener once more, so that all that the system accepted by now is seen.
+    tokio::task::yield_now().await;
+    while let Some(stream) = waiting.take().or_else(|| queued(&listener)) {
         tokio::select! {
             () = seats.room() => serve(stream, seats.take()),
             () = shutdown.reached(Phase::Draining) => break,
         }
     }
-    drop(queue);
+    drop(listener);
     tracker.close();
     tokio::select! {
         () = tracker.wait() => return,
@@ -334,14 +336,10 @@
     let _ = tokio::time::timeout(patience, tracker.wait()).await;
 }
 
-/// The connections that wait in a listener's queue now.
-fn queued(listener: TcpListener) -> impl Iterator<Item = TcpStream> {
-    let listener = listener.into_std().ok();
-    std::iter::from_fn(move || {
-        let (stream, _) = listener.as_ref()?.accept().ok()?;
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    })
+/// The next connection that waits in the listener's queue, where one does.
+fn queued(listener: &TcpListener) -> Option<TcpStream> {
+    let (stream, _) = listener.accept().now_or_never()?.ok()?;
+    Some(stream)
 }
 
 async fn connection(stream: TcpStream, seat: Seat, routes: Router, shutdown: Shutdown, switch: Service) {
