--- a/cli/src/lab.rs
+++ b/cli/src/lab.rs
@@ -32,6 +32,15 @@
     Fleet(FleetRun),
     /// Walk every state of a small world of schedulers; ends with 1 where a rule does not hold
     CheckModel(CheckModel),
+    /// Play a scale scenario: real schedulers beside hollow ones, before a list of any size
+    Scale(crate::scale::Scale),
+    /// Run many hollow schedulers in this process, for `lab scale`
+    #[command(hide = true)]
+    Hollow(crate::hollow::Hollow),
+    /// Measure what clients' connections and requests cost one scheduler
+    Traffic(crate::traffic::Traffic),
+    /// What the fleet needs at its target, from the measured slopes, beside the budgets
+    Capacity(crate::capacity::Capacity),
 }
 
 /// What can be walked.
@@ -208,6 +217,10 @@
             Lab::Load(load) => load.run(),
             Lab::Fleet(fleet) => fleet.run(),
             Lab::CheckModel(check) => check.run(),
+            Lab::Scale(scale) => scale.run(),
+            Lab::Hollow(hollow) => hollow.run(),
+            Lab::Traffic(traffic) => traffic.run(),
+            Lab::Capacity(capacity) => capacity.run(),
         };
         match ended {
             Ok(code) => ExitCode::from(code),
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -1,12 +1,17 @@
 //! The program: `serve` (also without a sub-command), and the sub-commands beside it.
 
 mod call;
+mod capacity;
 mod check;
+mod configuration;
+mod hollow;
 mod lab;
 mod log;
 mod maintenance;
 mod nodes;
+mod scale;
 mod serve;
+mod traffic;
 
 use clap::{CommandFactory, Parser, Subcommand};
 use std::process::ExitCode;
@@ -37,6 +42,9 @@
     /// Take machines out for work, in an order that the schedulers settle among themselves
     #[command(subcommand)]
     Maintenance(maintenance::Maintenance),
+    /// Carry a configuration to every scheduler, and tell which version is in force where
+    #[command(subcommand)]
+    Configuration(configuration::Configuration),
     /// Print a shell's completions
     Completions {
         /// The shell
@@ -58,6 +66,7 @@
         Command::Nodes(nodes) => nodes.run(),
         Command::Lab(lab) => lab.run(),
         Command::Maintenance(maintenance) => maintenance.run(),
+        Command::Configuration(configuration) => configuration.run(),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "pointcross", &mut std::io::stdout());
