Part control from traffic: a scheduler's list, peers and reload stand without fronts

Cause: hollow schedulers for scale runs need all that a scheduler is told (node list, other schedulers, new configurations) and none of its traffic; Daemon held both in one run().

Change: daemon/src/control.rs holds the core with its guard, membership, peers, the watch on discovery and the pace. Daemon stands on it. What is in force (list revision) can be watched and is logged as pointcross::in_force. The module's orders are subscribed to at the bind: the first may come with the first list.

--- a/daemon/src/discovery.rs
+++ b/daemon/src/discovery.rs
@@ -187,22 +187,47 @@
     }
 }
 
+/// Where a list goes: to the core, where `vetted` decides on membership through that.
+pub struct Sink<'a> {
+    /// The core.
+    pub core: &'a Core,
+    /// What decides on membership.
+    pub vetted: Option<&'a Vetted>,
+    /// Told the version of each list, or changes to one, once it has been passed on.
+    pub in_force: &'a (dyn Fn(u64) + Sync),
+}
+
+impl Sink<'_> {
+    /// Passes a list on; gives the version that the next call starts from, `None` where it was not taken.
+    fn tell(&self, list: List) -> Option<u64> {
+        let revision = match self.vetted {
+            Some(vetted) => vetted.told(self.core.now(), list.complete, list.revision, list.members)?,
+            None => {
+                self.core.list(if list.complete { ListKind::Full } else { ListKind::Changes }, list.members);
+                list.revision
+            }
+        };
+        (self.in_force)(revision);
+        Some(revision)
+    }
+}
+
 /// Follows the list whenever the module asks for it; ends only when the core is gone. How long to wait after
 /// a failure is the module's decision: it is told, and asks again.
 ///
 /// When `place` changes, the new address is asked for the whole list (its versions may be others), and the
 /// watch at the old one goes on until that list has come. What the module knows of nodes stays. `zones` are the
-/// zones' names by number, `known` the list that the core was told at its start. Where `vetted` decides on
-/// membership, lists go there. Where `pace` is set, each call at the first place waits as long as it says.
+/// zones' names by number, `known` the list that the core was told at its start. Where `pace` is set, each call at
+/// the first place waits as long as it says.
 pub async fn follow(
-    core: &Core,
+    sink: Sink<'_>,
     zones: &[String],
     known: &List,
     orders: &mut watch::Receiver<bool>,
     place: &mut watch::Receiver<SocketAddr>,
-    vetted: Option<&Vetted>,
     mut pace: Option<Pace>,
 ) {
+    let Sink { core, vetted, .. } = sink;
     let hold = pace.as_ref().map_or(HOLD, |pace| pace.hold);
     let mut caller = Caller::new(zones, *place.borrow_and_update(), hold);
     // A call that the pace holds back, and what it is.
@@ -253,7 +278,7 @@
                             vetted.discovery(caller.address.to_string());
                         }
                     }
-                    revision = tell(core, vetted, list);
+                    revision = sink.tell(list);
                     watching = (revision.is_some() || vetted.is_none()).then(|| caller.call(revision));
                 }
                 Err(error) => {
@@ -267,7 +292,7 @@
             list = or_never(watching.as_mut()) => match list {
                 // Each call follows the last answer at once, well within the 200 ms that keep a watch alive.
                 Ok(list) => {
-                    revision = tell(core, vetted, list);
+                    revision = sink.tell(list);
                     if let Some(pace) = &mut pace {
                         pace.pacer.answered();
                     }
@@ -301,16 +326,6 @@
     }
 }
 
-/// Passes a list on, where there is one through what decides on membership; gives the version that the next call
-/// starts from.
-fn tell(core: &Core, vetted: Option<&Vetted>, list: List) -> Option<u64> {
-    if let Some(vetted) = vetted {
-        return vetted.told(core.now(), list.complete, list.revision, list.members);
-    }
-    core.list(if list.complete { ListKind::Full } else { ListKind::Changes }, list.members);
-    Some(list.revision)
-}
-
 async fn or_never(call: Option<&mut Call>) -> Result<List, CallError> {
     match call {
         Some(call) => call.await,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod client_stream;
 pub mod config;
+pub mod control;
 pub mod discovery;
 pub mod http;
 pub mod maintenance;
@@ -19,13 +20,9 @@
 pub mod telemetry;
 
 use config::Config;
-use pointcross_core::decide::{ListKind, SettingsError};
-use pointcross_core::{Core, Guard};
-use pointcross_membership::decide::Effects;
-use pointcross_membership::drive::Vetted;
-use pointcross_membership::pace::Pacer;
-use pointcross_membership::ramp::Ramp;
-use pointcross_membership::ramped::Ramped;
+use control::Control;
+use pointcross_core::Core;
+use pointcross_core::decide::SettingsError;
 use reload::Reload;
 use shutdown::Shutdown;
 use std::io;
@@ -73,18 +70,12 @@
 
 /// One scheduler with its listeners bound.
 pub struct Daemon {
-    config: Config,
-    core: Arc<Core>,
+    control: Control,
     store: Arc<store::Store>,
     telemetry: Telemetry,
     http: Clients,
     ops: Option<TcpListener>,
     nbd: Option<(nbd::NbdConfig, TcpListener)>,
-    discovery: watch::Sender<SocketAddr>,
-    /// The other schedulers, where the operator's file names them.
-    peers: Option<pointcross_peers::drive::Bound>,
-    /// What decides on membership, with what it begins with, where the operator's file turns it on.
-    vetted: Option<(Arc<Vetted>, Effects)>,
 }
 
 impl Daemon {
@@ -117,37 +108,14 @@
             None => None,
             Some(nbd) => Some((nbd.clone(), listen("nbd.listen", nbd.listen).await?)),
         };
-        let core = Core::new(config.parsed.decide.clone(), config.seed)?;
-        let vetted =
-            config.membership.as_ref().map(|settings| membership::begin(settings, &config, core.now()));
-        let vet = vetted.as_ref().map(|(vetted, _)| vetted.clone());
-        let before = vet.clone().map(|vetted| vetted as Arc<dyn Guard>);
-        let guard = match config.ramp {
-            Some(rules) => {
-                let hosts = config.parsed.decide.hosts;
-                let ramp = Ramp::new(rules, hosts, config.seed, &config.name);
-                Some(Ramped::new(ramp, before) as Arc<dyn Guard>)
-            }
-            None => before,
-        };
-        let core = Arc::new(match guard {
-            Some(guard) => core.guarded(guard),
-            None => core,
-        });
-        if let Some(vetted) = vet {
-            vetted.attach(&core);
-        }
+        let control = Control::bind(config).await?;
+        let config = control.config();
         let store = Arc::new(store::Store::new(config.store_settings()));
         let telemetry = match &config.otlp {
             None => Telemetry::default(),
             Some(otlp) => Telemetry::start(otlp, &config.name, &config.parsed)?,
         };
-        let (discovery, _) = watch::channel(config.discovery);
-        let peers = match &config.maintenance {
-            None => None,
-            Some(settings) => Some(pointcross_peers::drive::Bound::start(settings.clone()).await?),
-        };
-        Ok(Daemon { config, core, store, telemetry, http, ops, nbd, discovery, peers, vetted })
+        Ok(Daemon { control, store, telemetry, http, ops, nbd })
     }
 
     /// Where HTTP clients connect.
@@ -170,19 +138,25 @@
 
     /// The core, for what is embedded beside the fronts.
     pub fn core(&self) -> &Arc<Core> {
-        &self.core
+        self.control.core()
+    }
+
+    /// What is in force, now and while [`Daemon::run`] runs.
+    pub fn in_force(&self) -> watch::Receiver<control::InForce> {
+        self.control.in_force()
     }
 
     /// Takes new configurations while [`Daemon::run`] runs.
     pub fn reload(&self) -> Reload {
-        Reload::new(self.config.clone(), self.discovery.clone())
+        self.control.reload()
     }
 
     /// Serves until `shutdown` is over and everything that was taken is answered.
     pub async fn run(self, shutdown: Shutdown) {
         let (http, nbd, door) = (self.http_address().ok(), self.nbd_address(), self.ops_address());
-        tracing::info!(name = self.config.name, ?http, ?nbd, ops = ?door, "serving");
-        let Daemon { config, core, store, telemetry, http, ops, nbd, discovery, peers, vetted } = self;
+        tracing::info!(name = self.control.config().name, ?http, ?nbd, ops = ?door, "serving");
+        let Daemon { mut control, store, telemetry, http, ops, nbd } = self;
+        let (config, core) = (control.config().clone(), control.core().clone());
         // Bans that an earlier process of this scheduler left hold before the first list comes.
         let bans = ops.as_ref().map(|_| ops::bans::path_for(&std::env::temp_dir(), config.listen));
         if let Some(path) = &bans {
@@ -195,18 +169,7 @@
                 Err(error) => tracing::warn!(%error, "bans' file not used"),
             }
         }
-        if let Some(peers) = &peers {
-            core.restore_bans(peers.banned());
-        }
         let service = ops::Service::default();
-        let plan = peers.as_ref().map(pointcross_peers::drive::Bound::peers);
-        let hands = maintenance::AtHand::new(core.clone(), service.clone());
-        let peering = async move {
-            match peers {
-                Some(peers) => peers.run(hands).await,
-                None => std::future::pending().await,
-            }
-        };
         service.set_listening(matches!(http, Clients::Listening(_)));
         // A process told to stop while its successor is in service gives up its part of every limit.
         let handing = {
@@ -231,20 +194,9 @@
                 std::future::pending::<()>().await;
             }
         };
-        let mut place = discovery.subscribe();
         let longest = core.settings().classes.iter().map(|class| class.deadline).fold(0.0, f64::max);
         shutdown.longest_request(Duration::try_from_secs_f64(longest / 1000.0).unwrap_or_default());
-        let mut follow = core.follow_orders();
-        let vetted = match vetted {
-            None => {
-                core.list(ListKind::Cached, config.known.members.clone());
-                None
-            }
-            Some((vetted, effects)) => {
-                vetted.begin(effects);
-                Some(vetted)
-            }
-        };
+        control.begin();
         let front = Arc::new(http::Front::new(
             core.clone(),
             store.clone(),
@@ -252,12 +204,12 @@
             config.parsed.plans.clone(),
             telemetry.clone(),
             shutdown.clone(),
-            vetted.clone(),
+            control.vetted().cloned(),
             service.clone(),
         ));
-        let service2 = service.clone();
         let classes = config.front_classes().into_iter().map(|class| class.name).collect();
-        let door = Arc::new(ops::Door::new(core.clone(), front.clone(), service, classes, bans, plan));
+        let (moved, plan) = (service.clone(), control.peers());
+        let door = Arc::new(ops::Door::new(core.clone(), front.clone(), moved, classes, bans, plan));
         // Without a door this never ends: it must not end the program's run.
         let door = async move {
             match ops {
@@ -272,21 +224,12 @@
                 Arc::new(nbd).accept(listener).await;
             }
         };
-        let (zones, known) = (&config.parsed.zones, &config.known);
-        let pace = config.list_calls.map(|calls| {
-            let holds = !known.members.is_empty();
-            let pacer = Pacer::new(calls.rules, config.seed, &config.name, core.now(), holds);
-            discovery::Pace { pacer, hold: calls.hold }
-        });
-        let following =
-            discovery::follow(&core, zones, known, &mut follow, &mut place, vetted.as_deref(), pace);
+        let taking = clients(http, front, core.clone(), config.budget.front, service.clone(), told);
         tokio::select! {
-            () = core.run_timers() => {}
-            () = following => {}
+            () = control.run(service) => {}
             () = door => {}
             () = handing => {}
-            () = peering => {}
-            _ = async { tokio::join!(clients(http, front, core.clone(), config.budget.front, service2, told), nbd) } => {}
+            _ = async { tokio::join!(taking, nbd) } => {}
         }
         telemetry.shutdown().await;
         tracing::info!("stopped");
