Carry a changed configuration to schedulers by held calls at its sources

Nothing carried a configuration and nothing said what is in force. The package decides apart from its loops which source a scheduler asks, when, and which document it takes; a source serves a file, holds calls and keeps a bounded table of who has what.

--- a/configuration/src/lib.rs
+++ b/configuration/src/lib.rs
@@ -1,6 +1,11 @@
 //! A changed configuration carried to every scheduler, and word of which version is in force where.
 #![warn(missing_docs)]
 
+pub mod decide;
+pub mod drive;
+pub mod source;
+pub mod wire;
+
 use serde_json::{Map, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
