--- a/configuration/src/decide/table.rs
+++ b/configuration/src/decide/table.rs
@@ -3,7 +3,7 @@
 //! Guards against a change of which nobody knows whether it is in force, and against a table that names without end
 //! make grow.
 
-use crate::wire::{self, Behind, Call, Refusal, State};
+use crate::wire::{self, Call, Heard, Refusal, Schedulers, State};
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -139,42 +139,70 @@
         self.heard.insert(call.name.clone(), entry);
     }
 
-    /// What is known of one scheduler.
-    pub fn of(&self, now: Duration, name: &str) -> Option<Behind> {
-        self.heard.get(name).map(|entry| told(now, name, entry))
-    }
-
-    /// What is known of the fleet.
-    pub fn state(&mut self, now: Duration) -> State {
+    /// Every scheduler that was heard, those long gone left out.
+    pub fn schedulers(&mut self, now: Duration) -> Schedulers {
         self.heard.retain(|_, entry| now.saturating_sub(entry.heard) < FORGET);
-        let version = self.published.version;
-        let lately = self.heard.iter().filter(|(_, entry)| now.saturating_sub(entry.heard) < SILENT);
-        let schedulers = lately.clone().count();
-        let behind = lately.filter(|(_, entry)| entry.have != version);
-        let mut behind: Vec<Behind> = behind.map(|(name, entry)| told(now, name, entry)).collect();
-        behind.sort_by(|a, b| b.heard_ms_ago.cmp(&a.heard_ms_ago).then_with(|| a.name.cmp(&b.name)));
-        let in_force = schedulers - behind.len();
-        let left_out = behind.len().saturating_sub(MOST_BEHIND);
-        behind.truncate(MOST_BEHIND);
-        State {
+        let ms_ago = |since| now.saturating_sub(since).as_millis() as u64;
+        let schedulers = self.heard.iter().map(|(name, &Entry { have, refused, heard })| Heard {
+            name: name.clone(),
+            have,
+            refused,
+            heard_ms_ago: ms_ago(heard),
+        });
+        let mut schedulers: Vec<Heard> = schedulers.collect();
+        longest_first(&mut schedulers);
+        Schedulers {
             fleet: self.fleet.clone(),
-            version,
-            published_ms_ago: now.saturating_sub(self.published.since).as_millis() as u64,
-            schedulers,
-            in_force,
-            silent: self.heard.len() - schedulers,
+            version: self.published.version,
+            published_ms_ago: ms_ago(self.published.since),
             uncounted: self.uncounted,
-            behind,
-            left_out,
+            schedulers,
         }
     }
+
+    /// What is known of the fleet.
+    pub fn state(&mut self, now: Duration) -> State {
+        together(vec![self.schedulers(now)], None).expect("one is given")
+    }
 }
 
-fn told(now: Duration, name: &str, entry: &Entry) -> Behind {
-    Behind {
-        name: name.to_owned(),
-        have: entry.have,
-        refused: entry.refused,
-        heard_ms_ago: now.saturating_sub(entry.heard).as_millis() as u64,
+fn longest_first(schedulers: &mut [Heard]) {
+    schedulers.sort_by(|a, b| b.heard_ms_ago.cmp(&a.heard_ms_ago).then_with(|| a.name.cmp(&b.name)));
+}
+
+/// What several sources of one fleet know of it: a scheduler that went from one to another counts where it was heard
+/// last. In force is the greatest version that a source serves, or, where one is `wanted`, that one or a newer one.
+/// None where no source is given.
+pub fn together(sources: Vec<Schedulers>, wanted: Option<u64>) -> Option<State> {
+    let newest = sources.iter().max_by_key(|source| source.version)?;
+    let (fleet, version, published_ms_ago) = (newest.fleet.clone(), newest.version, newest.published_ms_ago);
+    let uncounted = sources.iter().map(|source| source.uncounted).sum();
+    let mut last: HashMap<String, Heard> = HashMap::new();
+    for heard in sources.into_iter().flat_map(|source| source.schedulers) {
+        match last.get(&heard.name) {
+            Some(known) if known.heard_ms_ago <= heard.heard_ms_ago => {}
+            _ => _ = last.insert(heard.name.clone(), heard),
+        }
     }
+    let all = last.len();
+    let mut behind: Vec<Heard> =
+        last.into_values().filter(|heard| u128::from(heard.heard_ms_ago) < SILENT.as_millis()).collect();
+    let schedulers = behind.len();
+    behind.retain(|heard| wanted.map_or(heard.have != version, |wanted| heard.have < wanted));
+    longest_first(&mut behind);
+    let in_force = schedulers - behind.len();
+    let left_out = behind.len().saturating_sub(MOST_BEHIND);
+    behind.truncate(MOST_BEHIND);
+    let silent = all - schedulers;
+    Some(State {
+        fleet,
+        version,
+        published_ms_ago,
+        schedulers,
+        in_force,
+        silent,
+        uncounted,
+        behind,
+        left_out,
+    })
 }
--- a/configuration/src/drive.rs
+++ b/configuration/src/drive.rs
@@ -280,5 +280,5 @@
     tokio::time::timeout(within, asked).await.unwrap_or_else(|_| Err(format!("no answer in {within:?}")))
 }
 
-/// The longest state, in bytes: a hundred names of the longest kind, escaped, are far less.
-const MOST_STATE: usize = 1 << 20;
+/// The longest answer, in bytes: a full table of the longest names is 1 MiB, escaped at the worst six times as much.
+const MOST_STATE: usize = 8 << 20;
--- a/configuration/src/source.rs
+++ b/configuration/src/source.rs
@@ -7,14 +7,16 @@
 use crate::decide::LOOK;
 use crate::decide::table::{Answer, Published, Table};
 use crate::drive::read_bounded;
-use crate::wire::{Call, PATH, Refusal, STATE_PATH, SUM_HEADER, VERSION_HEADER};
+use crate::wire::{Call, PATH, Refusal, SCHEDULERS_PATH, STATE_PATH, SUM_HEADER, VERSION_HEADER};
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
@@ -95,6 +97,7 @@
     listener: TcpListener,
     file: PathBuf,
     most_bytes: usize,
+    most_connections: usize,
     read: Stamp,
     hangup: tokio::signal::unix::Signal,
 }
@@ -139,7 +142,14 @@
         let hangup = signal(SignalKind::hangup()).map_err(StartError::Signal)?;
         let version = watch::channel(table.version()).0;
         let shared = Arc::new(Shared { table: Mutex::new(table), version, epoch });
-        Ok(Source { shared, listener, file, most_bytes, read, hangup })
+        let most_connections = MOST_CONNECTIONS;
+        Ok(Source { shared, listener, file, most_bytes, most_connections, read, hangup })
+    }
+
+    /// Takes so many connections at once in place of [`MOST_CONNECTIONS`].
+    pub fn most_connections(mut self, most: usize) -> Self {
+        self.most_connections = most;
+        self
     }
 
     /// Where it answers.
@@ -152,8 +162,9 @@
 
     /// Serves for as long as the program runs. Dropped, it ends the listener and every connection.
     pub async fn run(self) {
-        let Source { shared, listener, file, most_bytes, read, hangup } = self;
-        tokio::join!(look(&shared, &file, most_bytes, read, hangup), accept(listener, &shared));
+        let Source { shared, listener, file, most_bytes, most_connections, read, hangup } = self;
+        let looked = look(&shared, &file, most_bytes, read, hangup);
+        tokio::join!(looked, accept(listener, &shared, most_connections));
     }
 }
 
@@ -185,7 +196,7 @@
         match &fault {
             Some(fault) if said.as_ref() != Some(fault) || told => {
                 let version = shared.table().version();
-                tracing::warn!(file = %file.display(), fault, version, "refused; the version served stays");
+                tracing::error!(file = %file.display(), fault, version, "refused; the version served stays");
             }
             _ => {}
         }
@@ -208,7 +219,7 @@
     Ok(())
 }
 
-async fn accept(listener: TcpListener, shared: &Arc<Shared>) {
+async fn accept(listener: TcpListener, shared: &Arc<Shared>, most: usize) {
     // One task a connection; all end with this future.
     let mut connections = JoinSet::new();
     loop {
@@ -224,7 +235,7 @@
                 continue;
             }
         };
-        if connections.len() >= MOST_CONNECTIONS {
+        if connections.len() >= most {
             continue;
         }
         let shared = shared.clone();
@@ -246,13 +257,19 @@
     response
 }
 
+fn json(value: &impl Serialize) -> Reply {
+    let mut response = reply(StatusCode::OK, serde_json::to_vec(value).expect("these types are JSON"));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn document(published: Published) -> Reply {
     let mut response = reply(StatusCode::OK, published.text);
     let headers = response.headers_mut();
-    let value = |text: String| text.parse().expect("digits make a header");
+    let value = |text: String| HeaderValue::from_str(&text).expect("digits make a header");
     headers.insert(SUM_HEADER, value(format!("{:08x}", published.sum)));
     headers.insert(VERSION_HEADER, value(published.version.to_string()));
-    headers.insert("content-type", value("application/json".into()));
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
@@ -264,20 +281,18 @@
             Ok(call) => held(shared, &call).await,
             Err(fault) => reply(StatusCode::BAD_REQUEST, format!("{fault}\n")),
         },
-        (&Method::GET, STATE_PATH) => {
-            if !query.is_empty() {
-                let text = format!("{query:.128}: unknown; the state takes no keys\n");
-                return Ok(reply(StatusCode::BAD_REQUEST, text));
-            }
-            let state = shared.table().state(shared.epoch.elapsed());
-            let mut response = reply(StatusCode::OK, serde_json::to_vec(&state).expect("the state is JSON"));
-            response.headers_mut().insert("content-type", "application/json".parse().expect("a header"));
-            response
+        (&Method::GET, STATE_PATH | SCHEDULERS_PATH) if !query.is_empty() => {
+            reply(StatusCode::BAD_REQUEST, format!("{query:.128}: unknown; {path} takes no keys\n"))
         }
-        (method, PATH | STATE_PATH) => {
+        (&Method::GET, STATE_PATH) => json(&shared.table().state(shared.epoch.elapsed())),
+        (&Method::GET, SCHEDULERS_PATH) => json(&shared.table().schedulers(shared.epoch.elapsed())),
+        (method, PATH | STATE_PATH | SCHEDULERS_PATH) => {
             reply(StatusCode::METHOD_NOT_ALLOWED, format!("{method} does not go with {path}; GET does\n"))
         }
-        _ => reply(StatusCode::NOT_FOUND, format!("{path}: no such path; {PATH} and {STATE_PATH} are\n")),
+        _ => {
+            let known = format!("{PATH}, {STATE_PATH} and {SCHEDULERS_PATH} are");
+            reply(StatusCode::NOT_FOUND, format!("{path:.128}: no such path; {known}\n"))
+        }
     })
 }
 
--- a/configuration/src/wire.rs
+++ b/configuration/src/wire.rs
@@ -22,6 +22,8 @@
 pub const PATH: &str = "/api/configuration";
 /// Where a source tells what is in force.
 pub const STATE_PATH: &str = "/api/configuration/state";
+/// Where a source tells of each scheduler.
+pub const SCHEDULERS_PATH: &str = "/api/configuration/schedulers";
 /// The header that holds the text's sum, in eight hexadecimal digits.
 pub const SUM_HEADER: &str = "x-crc32c";
 /// The header that holds the text's version, so that a text that cannot be read is not fetched again.
@@ -353,10 +355,10 @@
         .then(|| u32::from_str_radix(header, 16).ok())?
 }
 
-/// One scheduler that has not the source's version in force.
+/// One scheduler as a source heard it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Behind {
+pub struct Heard {
     /// Its name.
     pub name: String,
     /// What it has in force; 0 where its own files alone hold.
@@ -386,11 +388,27 @@
     /// Calls of schedulers that found no place in the table.
     pub uncounted: u64,
     /// Those heard lately that have another version in force, the longest unheard first.
-    pub behind: Vec<Behind>,
+    pub behind: Vec<Heard>,
     /// How many more of them there are than are named.
     pub left_out: usize,
 }
 
+/// Every scheduler that a source heard: who asks several sources puts them together by name.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Schedulers {
+    /// The fleet that it serves.
+    pub fleet: String,
+    /// The version that it serves.
+    pub version: u64,
+    /// How long it has served it.
+    pub published_ms_ago: u64,
+    /// Calls of schedulers that found no place in the table.
+    pub uncounted: u64,
+    /// Each scheduler, the longest unheard first.
+    pub schedulers: Vec<Heard>,
+}
+
 /// The start of a saved document; the number is the form's.
 const SAVED: &str = "pointcross-configuration 1";
 
--- a/configuration/tests/follow.rs
+++ b/configuration/tests/follow.rs
@@ -1,21 +1,20 @@
 //! The follower against real sources on loopback, with links between them that fail.
 
-use pointcross_configuration::decide::worst_path;
+use pointcross_configuration::decide::{HOLD, worst_path};
 use pointcross_configuration::drive::{follow, get};
 use pointcross_configuration::source::{Source, SourceSettings};
 use pointcross_configuration::wire::{MOST_BYTES, STATE_PATH, State};
 use pointcross_configuration::{Document, FollowerSettings, Status, Take};
+use pointcross_fleet::link::{Fault, Link};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
-const HOLD: Duration = Duration::from_millis(1400);
-
 /// Remembers what was put in force; refuses a document whose `plan.bad` is set.
 #[derive(Default)]
 struct Taken(Mutex<Vec<u64>>);
@@ -99,58 +98,6 @@
     serde_json::from_slice(&text).unwrap()
 }
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Fault {
-    Up,
-    /// Open connections fall silent, new ones are taken and never served.
-    Dropped,
-    /// Open connections are reset, new ones too.
-    Refused,
-    /// Every connection ends after so many bytes towards the follower.
-    Cut(usize),
-}
-
-/// A link to a source, with a switch.
-async fn link(to: SocketAddr) -> (SocketAddr, watch::Sender<Fault>) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let (switch, fault) = watch::channel(Fault::Up);
-    tokio::spawn(async move {
-        while let Ok((near, _)) = listener.accept().await {
-            tokio::spawn(carry(near, to, fault.clone()));
-        }
-    });
-    (address, switch)
-}
-
-async fn carry(mut near: TcpStream, to: SocketAddr, mut fault: watch::Receiver<Fault>) {
-    let now = *fault.borrow_and_update();
-    match now {
-        Fault::Refused => return,
-        Fault::Dropped => return while fault.changed().await.is_ok() {},
-        Fault::Cut(bytes) => {
-            let mut far = TcpStream::connect(to).await.unwrap();
-            let mut head = vec![0; 4096];
-            let read = near.read(&mut head).await.unwrap_or(0);
-            far.write_all(&head[..read]).await.unwrap();
-            let mut piece = vec![0; bytes];
-            let read = far.read(&mut piece).await.unwrap_or(0);
-            let _ = near.write_all(&piece[..read]).await;
-            return;
-        }
-        Fault::Up => {}
-    }
-    let Ok(mut far) = TcpStream::connect(to).await else { return };
-    let ended = {
-        let carried = copy_bidirectional(&mut near, &mut far);
-        tokio::select! { _ = carried => None, _ = fault.changed() => Some(*fault.borrow()) }
-    };
-    if let Some(Fault::Dropped) = ended {
-        // Both ends stay open and nothing is said.
-        std::future::pending::<()>().await;
-    }
-}
-
 #[tokio::test]
 async fn a_change_is_in_force_and_the_source_knows_and_the_next_start_needs_no_source() {
     let folder = folder("plain");
@@ -197,3 +144,171 @@
     publish(&file, 3, "");
     again.in_force(3).await;
 }
+
+/// One link does what it likes before a change, or the only one until then: the change is in force within the sum.
+#[tokio::test]
+async fn a_change_is_in_force_in_time_whatever_one_link_did_before() {
+    let faults = [
+        Fault::Dropped,
+        Fault::Refused,
+        Fault::Cut { after: 40 },
+        Fault::Cut { after: 0 },
+        Fault::Delayed { median_ms: 900.0, sigma: 0.1 },
+        Fault::Delayed { median_ms: 50.0, sigma: 0.1 },
+    ];
+    let all = faults.iter().flat_map(|&fault| [(fault, true), (fault, false)]).enumerate();
+    let runs = all.map(|(i, (fault, second))| async move {
+        let folder = folder(&format!("fault-{i}"));
+        let file = folder.join("document");
+        publish(&file, 1, "");
+        let (a, b) = (serve(&file, "127.0.0.1:0").await, serve(&file, "127.0.0.1:0").await);
+        let link = Link::open(a.address, i as u64).await.unwrap();
+        let sources = [link.address, b.address];
+        let mut follower = start("n0", &sources[..1 + usize::from(second)], None);
+        follower.in_force(1).await;
+        link.set(fault);
+        // With a second source the fault comes shortly before the change; with one, waits have grown to their most.
+        let before = if second { 0 } else { 3000 };
+        tokio::time::sleep(Duration::from_millis(before + 170 * i as u64)).await;
+        if !second {
+            link.set(Fault::Up);
+        }
+        let published = Instant::now();
+        publish(&file, 2, r#""plan.a":2"#);
+        let status = follower.in_force(2).await;
+        let took = published.elapsed();
+        assert!(took < worst_path(HOLD), "{fault:?}, second source {second}: {took:?}");
+        (fault, second, status.source == Some(b.address), took)
+    });
+    for (fault, second, moved, took) in futures_util::future::join_all(runs).await {
+        println!("{fault:?}, second source {second}: {took:?}");
+        // Over a silent link nothing can have come.
+        assert!(moved == second || fault != Fault::Dropped, "second source {second}");
+    }
+}
+
+#[tokio::test]
+async fn faulty_foreign_and_older_files_change_nothing_and_what_is_refused_shows_at_the_source() {
+    let folder = folder("files");
+    let file = folder.join("document");
+    publish(&file, 5, "");
+    let source = serve(&file, "127.0.0.1:0").await;
+    let mut follower = start("n0", &[source.address], None);
+    follower.in_force(5).await;
+    for faulty in
+        ["{", r#"{"fleet":"f","version":4,"keys":{}}"#, r#"{"fleet":"g","version":6,"keys":{}}"#, ""]
+    {
+        // Written in place, as a careless hand does.
+        std::fs::write(&file, faulty).unwrap();
+        tokio::time::sleep(Duration::from_millis(450)).await;
+        let told = state(source.address).await;
+        assert_eq!((told.version, told.in_force), (5, 1), "{faulty}");
+    }
+    publish(&file, 7, r#""plan.bad":1"#);
+    let status = follower.until("refused", |status| status.refused.is_some()).await;
+    assert_eq!((status.version, status.refused), (Some(5), Some((7, "plan.bad: unknown key".into()))));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let told = state(source.address).await;
+    assert_eq!((told.version, told.in_force, told.behind.len()), (7, 0, 1));
+    assert_eq!((told.behind[0].have, told.behind[0].refused), (5, Some(7)));
+    publish(&file, 8, "");
+    assert_eq!(follower.in_force(8).await.refused, None);
+    assert_eq!(*follower.taken.0.lock().unwrap(), [5, 8]);
+    // A saved document of another fleet, a torn one and one that the scheduler refuses leave a start without any.
+    let text = |fleet: &str, keys: &str| format!(r#"{{"fleet":"{fleet}","version":9,"keys":{{{keys}}}}}"#);
+    let whole = pointcross_configuration::wire::save(9, text("f", "").as_bytes());
+    for (saved, version) in [
+        (whole.clone(), Some(9)),
+        (whole[..whole.len() - 1].to_vec(), Some(8)),
+        (pointcross_configuration::wire::save(9, text("g", "").as_bytes()), Some(8)),
+        (pointcross_configuration::wire::save(9, text("f", r#""plan.bad":1"#).as_bytes()), Some(8)),
+        (vec![b'x'; MOST_BYTES + 200], Some(8)),
+    ] {
+        let path = folder.join("saved");
+        std::fs::write(&path, saved).unwrap();
+        let mut follower = start("n1", &[source.address], Some(path));
+        let first = follower.until("any version", |status| status.version.is_some()).await;
+        assert_eq!(first.version, version);
+        follower.task.abort();
+    }
+}
+
+#[tokio::test]
+async fn two_fleets_do_not_mix_and_sources_answer_faulty_calls_by_name() {
+    let folder = folder("calls");
+    let file = folder.join("document");
+    publish_for("g", &file, 1, "");
+    let settings = SourceSettings { fleet: "g".into(), most_bytes: MOST_BYTES };
+    let source = Source::bind("127.0.0.1:0".parse().unwrap(), file, settings).await.unwrap();
+    let address = source.address().unwrap();
+    let served = tokio::spawn(source.most_connections(3).run());
+    let mut follower = start("n0", &[address], None);
+    let status = follower.until("unreachable", |status| status.unreachable).await;
+    assert_eq!(status.version, None);
+    let cases = [
+        (
+            "GET /api/configuration?fleet=f&name=n&have=0&hold_ms=0",
+            "409",
+            r#"fleet: "f" asks, "g" is served here"#,
+        ),
+        ("GET /api/configuration?fleet=g&name=n&have=x&hold_ms=0", "400", r#"have: "x"; a whole number"#),
+        ("GET /api/configuration?fleet=g&name=n&have=0&hold_ms=0", "200", "x-crc32c: "),
+        ("GET /api/configuration?fleet=g&name=n&have=1&hold_ms=0", "204", ""),
+        ("GET /api/configuration/state?name=n", "400", "name=n: unknown"),
+        ("GET /api/configuration/schedulers", "200", r#""name":"n","have":1"#),
+        ("PUT /api/configuration", "405", "PUT does not go with /api/configuration"),
+        ("GET /api/elsewhere", "404", "/api/elsewhere: no such path"),
+    ];
+    // All on one connection, one call after another.
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    for (call, status, wanted) in cases {
+        stream.write_all(format!("{call} HTTP/1.1\r\nhost: x\r\n\r\n").as_bytes()).await.unwrap();
+        let mut answer = vec![0; 4096];
+        let read = stream.read(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer[..read]).into_owned();
+        assert!(
+            answer.starts_with(&format!("HTTP/1.1 {status} ")) && answer.contains(wanted),
+            "{call}: {answer}"
+        );
+    }
+    // The follower's, this one and one more are the most; a fourth is closed without a word.
+    let mut half = TcpStream::connect(address).await.unwrap();
+    half.write_all(b"GET /api/conf").await.unwrap();
+    follower.task.abort();
+    let _ = follower.task.await;
+    let idle = TcpStream::connect(address).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut one_more = TcpStream::connect(address).await.unwrap();
+    assert!(matches!(one_more.read(&mut [0; 1]).await, Ok(0) | Err(_)), "one more was served");
+    // A head that does not end, and a connection that asks nothing, give their places back.
+    let started = Instant::now();
+    for mut stream in [half, idle] {
+        let mut answer = Vec::new();
+        let _ = tokio::time::timeout(Duration::from_secs(15), stream.read_to_end(&mut answer)).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer).into_owned();
+        assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 408"), "{answer}");
+    }
+    assert!(started.elapsed() > Duration::from_secs(8), "{:?}", started.elapsed());
+    served.abort();
+}
+
+#[tokio::test]
+async fn a_source_does_not_start_on_a_faulty_file() {
+    let folder = folder("start");
+    let file = folder.join("document");
+    let bind = async |fleet: &str, at: &str| {
+        let settings = SourceSettings { fleet: fleet.into(), most_bytes: MOST_BYTES };
+        let bound = Source::bind(at.parse().unwrap(), file.clone(), settings).await;
+        bound.map(|_| ()).map_err(|error| error.to_string())
+    };
+    assert!(bind("f", "127.0.0.1:0").await.unwrap_err().contains("document: cannot be read: No such file"));
+    publish(&file, 1, "");
+    assert!(
+        bind("g", "127.0.0.1:0")
+            .await
+            .unwrap_err()
+            .contains(r#"document: fleet: it is for "f", this is "g""#)
+    );
+    assert!(bind("f", "192.0.2.1:1").await.unwrap_err().contains("192.0.2.1:1: cannot listen there"));
+    assert_eq!(bind("f", "127.0.0.1:0").await, Ok(()));
+}
--- /dev/null
+++ b/configuration/tests/wire.rs
@@ -0,0 +1,118 @@
+//! What goes over the wire and into files is decoded strictly, with errors that say where.
+
+use pointcross_configuration::wire::{Call, SavedFault, decode, encode, save, saved, sum};
+use proptest::prelude::*;
+use std::time::Duration;
+
+#[test]
+fn faulty_documents_are_refused_by_key() {
+    let long = format!(r#"{{"fleet":"{}","version":1,"keys":{{}}}}"#, "x".repeat(129));
+    let cases = [
+        ("", "not a JSON object"),
+        ("[]", "not a JSON object: invalid type: sequence"),
+        (r#"{"fleet":"f","version":1,"keys":{}} x"#, "not a JSON object: trailing characters"),
+        (r#"{"fleet":"f","version":1,"keys":{}"#, "not a JSON object: EOF"),
+        (r#"{"version":1,"keys":{}}"#, "fleet: missing"),
+        (r#"{"fleet":"f","keys":{}}"#, "version: missing"),
+        (r#"{"fleet":"f","version":1}"#, "keys: missing"),
+        (r#"{"fleet":"f","version":1,"keys":{},"canary":1}"#, "canary: unknown; fleet, version and keys"),
+        (r#"{"fleet":"f","version":1,"version":2,"keys":{}}"#, "version: said twice"),
+        (r#"{"fleet":"f","version":1,"keys":{"plan.a":1,"plan.a":2}}"#, "plan.a: said twice"),
+        (r#"{"fleet":7,"version":1,"keys":{}}"#, "fleet: 7; a name of 1 to 128 bytes"),
+        (r#"{"fleet":"","version":1,"keys":{}}"#, "fleet: empty; a name"),
+        (r#"{"fleet":"a\nb","version":1,"keys":{}}"#, "holds a control character"),
+        (&long, "fleet: 129 bytes long; a name"),
+        (r#"{"fleet":"f","version":0,"keys":{}}"#, "version: 0; a whole number from 1"),
+        (r#"{"fleet":"f","version":-1,"keys":{}}"#, "version: -1; a whole number"),
+        (r#"{"fleet":"f","version":1.5,"keys":{}}"#, "version: 1.5; a whole number"),
+        (r#"{"fleet":"f","version":"1","keys":{}}"#, "version: \"1\"; a whole number"),
+        (
+            r#"{"fleet":"f","version":18446744073709551616,"keys":{}}"#,
+            "version: 1.8446744073709552e+19; a whole number from 1 to 2^64-1",
+        ),
+        (r#"{"fleet":"f","version":1,"keys":[1]}"#, "keys: a list; an object is wanted"),
+        (r#"{"fleet":"f","version":1,"keys":null}"#, "keys: null; an object is wanted"),
+        (r#"{"fleet":"f","version":1,"keys":"a"}"#, "keys: \"a\"; an object is wanted"),
+    ];
+    for (text, wanted) in cases {
+        let refusal = decode(text.as_bytes()).expect_err(text).to_string();
+        assert!(refusal.contains(wanted), "{text}: {refusal}");
+    }
+    let text = r#"{"fleet":"f é","version":18446744073709551615,"keys":{"a":{"b":[1,null]},"c":"d"}}"#;
+    let document = decode(text.as_bytes()).unwrap();
+    assert_eq!((document.version, document.keys.len()), (u64::MAX, 2));
+    assert_eq!(encode(&document), text);
+}
+
+#[test]
+fn faulty_calls_are_refused_by_key() {
+    let good = "fleet=f&name=n0&have=3&hold_ms=1400";
+    let cases = [
+        ("name=n0&have=3&hold_ms=1400", "fleet: missing"),
+        ("fleet=f&have=3&hold_ms=1400", "name: missing"),
+        ("fleet=f&name=n0&hold_ms=1400", "have: missing"),
+        ("fleet=f&name=n0&have=3", "hold_ms: missing"),
+        (
+            "fleet=f&name=n0&have=3&hold_ms=1400&wait=1",
+            "wait: unknown; fleet, name, have, hold_ms and refused",
+        ),
+        ("fleet=f&name=n0&have=3&hold_ms=1400&have=4", "have: said twice"),
+        ("fleet=f&name=n0&have=-3&hold_ms=1400", "have: \"-3\"; a whole number is wanted"),
+        ("fleet=f&name=n0&have=+3&hold_ms=1400", "have: \"+3\"; a whole number"),
+        ("fleet=f&name=n0&have=&hold_ms=1400", "have: \"\"; a whole number"),
+        ("fleet=f&name=n0&have=3&hold_ms=1.4", "hold_ms: \"1.4\"; a whole number"),
+        ("fleet=f&name=n0&have=3&hold_ms=1400&refused=x", "refused: \"x\"; a whole number"),
+        ("fleet=f&name=&have=3&hold_ms=1400", "name: \"\"; a name of 1 to 128 bytes"),
+        ("fleet=f&name=a%0Ab&have=3&hold_ms=1400", "name: \"a%0Ab\"; a name"),
+        ("fleet=f&name=%zz&have=3&hold_ms=1400", "name: \"%zz\"; a name"),
+        ("fleet=f&name=%ff&have=3&hold_ms=1400", "name: \"%ff\"; a name"),
+    ];
+    for (query, wanted) in cases {
+        let fault = Call::decode(query).expect_err(query).to_string();
+        assert!(fault.contains(wanted), "{query}: {fault}");
+    }
+    assert_eq!(Call::decode(good).unwrap().have, 3);
+    let held = Call::decode("fleet=f&name=n0&have=3&hold_ms=99999999").unwrap();
+    assert_eq!(held.hold, Duration::from_secs(60), "a hold is bounded");
+    for faulty in ["", "1234567", "123456789", "+1234567", "1234567g"] {
+        assert_eq!(sum(faulty), None, "{faulty}");
+    }
+    assert_eq!(sum("00C0ffee"), Some(0x00c0_ffee));
+}
+
+/// Guards against a half-written saved document in force: cut at every byte, and with every byte changed, it is named.
+#[test]
+fn a_saved_document_torn_at_any_byte_is_named_and_not_taken() {
+    let text = br#"{"fleet":"f","version":42,"keys":{"plan.a":1}}"#;
+    let whole = save(42, text);
+    assert_eq!(saved(&whole), Ok(&text[..]));
+    for end in 0..whole.len() {
+        assert!(saved(&whole[..end]).is_err(), "taken when cut at {end}");
+    }
+    for at in 0..whole.len() {
+        for flip in [0x01, 0x20, 0x80] {
+            let mut torn = whole.clone();
+            torn[at] ^= flip;
+            // The sum's own digits may be written in either case; they say the same.
+            assert!(
+                saved(&torn).is_err() || torn.eq_ignore_ascii_case(&whole),
+                "taken with {flip:#x} at {at}"
+            );
+        }
+    }
+    let other = saved(&save(41, text)).unwrap_err();
+    assert_eq!(other.to_string(), "text: version: 42 in the text, 41 announced with it");
+    assert!(matches!(saved(&save(42, b"{}")), Err(SavedFault::Text(_))));
+}
+
+proptest! {
+    #[test]
+    fn calls_are_decoded_as_they_were_sent(
+        fleet in "\\PC{1,30}", name in "\\PC{1,30}", have in any::<u64>(), refused in any::<Option<u64>>(),
+        hold in 0u64..60_001,
+    ) {
+        let call = Call { fleet, name, have, refused, hold: Duration::from_millis(hold) };
+        let target = call.target();
+        prop_assert_eq!(Call::decode(target.split_once('?').unwrap().1), Ok(call));
+    }
+}
