Put other figures of the plans in force while the scheduler runs

Need: a tenant's limit, reserve or price must change without a restart.

Change: Scheduler::reconfigure takes as many plans as are held, checked whole. Volumes' stores refill at the old rates up to the change and at the new ones after; a volume that had no limit owes nothing for what it sent before. Core::reconfigure passes it under the lock.

--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -4,7 +4,9 @@
 use crate::counts::Counts;
 use crate::guard::Guard;
 use crate::nodes::{BanError, Member, Nodes, Target};
-use pointcross_decide::{Action, Event, ListKind, NodeId, RequestId, Scheduler, Settings, SettingsError};
+use pointcross_decide::{
+    Action, Event, ListKind, NodeId, Plan, RequestId, Scheduler, Settings, SettingsError,
+};
 use std::cmp::Reverse;
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
@@ -94,11 +96,21 @@
         self.clock.now()
     }
 
-    /// What the module goes by.
+    /// What the module was started with; its plans' figures may be others now.
     pub fn settings(&self) -> &Settings {
         &self.settings
     }
 
+    /// Puts other figures of the plans in force for every request from now on; open ones and what each volume has
+    /// used stay. [`Core::settings`] goes on showing the plans of the start.
+    ///
+    /// # Errors
+    /// What the module cannot work with; nothing changes then.
+    pub fn reconfigure(&self, plans: Vec<Plan>) -> Result<(), SettingsError> {
+        let mut state = self.lock();
+        state.scheduler.reconfigure(self.clock.now(), plans)
+    }
+
     /// Whether the list names a node that takes work.
     pub fn can_serve(&self) -> bool {
         self.lock().nodes.any_ready()
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -107,9 +107,8 @@
     /// Held requests meant for it.
     queue: Vec<RequestId>,
     held_units: f64,
-    out: usize,
     out_units: f64,
-    /// The attempts among these, oldest first: when sent, whose, and their units.
+    /// The attempts out there, oldest first: when sent, whose, and their units.
     outs: VecDeque<(f64, RequestId, f64)>,
     pace: Pace,
     /// Since when work is out there without an answer.
@@ -151,6 +150,29 @@
     seen: f64,
 }
 
+impl Volume {
+    /// Fills the reserve's store and gives what it holds.
+    fn fill_reserve(&mut self, now: f64, settings: &Settings) -> f64 {
+        let plan = &settings.plans[self.plan];
+        let part = if settings.tells_elsewhere { 1.0 } else { 1.0 / self.hosts };
+        self.reserve.fill(now, plan.reserve * part, plan.reserve * part + settings.most_units)
+    }
+
+    /// How long until this host's part of the limit holds so many units.
+    fn limit_wait(&mut self, now: f64, settings: &Settings, units: f64) -> f64 {
+        let plan = &settings.plans[self.plan];
+        if plan.limit <= 0.0 {
+            // What was sent without a limit is no debt to one that is set later.
+            self.limit = Store { level: 0.0, at: now };
+            return 0.0;
+        }
+        // A twentieth of the slack stays unused, for rounding.
+        let depth = (plan.limit_depth + plan.limit_slack * 0.95) / self.hosts;
+        let rate = plan.limit / self.hosts;
+        ((units - self.limit.fill(now, rate, depth)) / rate * 1000.0).max(0.0)
+    }
+}
+
 /// Turns for one key of the ordered classes.
 #[derive(Default)]
 struct Turn {
@@ -207,8 +229,6 @@
     asked: BTreeSet<u32>,
     /// Worth of the best work: the dearest class at the dearest price.
     best_value: f64,
-    /// Time over which arrivals are counted: the widest aim.
-    inflow_span: f64,
     nodes: Vec<Node>,
     /// Places in `nodes` that are free again.
     vacant: Vec<usize>,
@@ -231,17 +251,14 @@
     /// Starts a host's scheduler; it knows nothing yet.
     pub fn new(settings: Settings, seed: u64, now: f64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let tightest = settings.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
         let mut scheduler = Scheduler {
             seed,
             born: now,
             typical: Pace::default(),
             homes: BTreeMap::new(),
             asked: BTreeSet::new(),
-            best_value: settings.classes.iter().map(|c| c.worth).fold(0.0, f64::max)
-                * settings.plans.iter().map(|p| p.price).fold(0.0, f64::max),
-            inflow_span: settings.classes.iter().map(|c| c.aim).fold(1.0, f64::max),
-            tightest_aim: tightest.max(settings.tick).max(1.0),
+            best_value: settings.best_value(),
+            tightest_aim: settings.tightest_aim(),
             nodes: Vec::new(),
             vacant: Vec::new(),
             by_id: BTreeMap::new(),
@@ -266,6 +283,18 @@
         Ok(scheduler)
     }
 
+    /// Puts other figures of the same plans in force, from the next event on, or changes nothing. What is open
+    /// and what each volume has used stay: the stores refill at the old rates up to now, at the new ones after.
+    pub fn reconfigure(&mut self, now: f64, plans: Vec<Plan>) -> Result<(), SettingsError> {
+        let old = self.settings.replace_plans(plans)?;
+        for volume in self.volumes.values_mut() {
+            volume.fill_reserve(now, &old);
+            volume.limit_wait(now, &old, 0.0);
+        }
+        self.best_value = self.settings.best_value();
+        Ok(())
+    }
+
     /// Takes in one event and appends what is to be done about it. An event that fits nothing known (an
     /// unknown attempt, a request already ended) is ignored.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
@@ -285,8 +314,7 @@
             }
             Event::Probed { .. } | Event::Message { .. } => {}
         }
-        if self.follow_at.is_some_and(|at| now >= at) {
-            self.follow_at = None;
+        if self.follow_at.take_if(|at| now >= *at).is_some() {
             actions.push(Action::FollowList { on: true });
         }
         if !self.pulse_set && (!self.jobs.is_empty() || self.follow_at.is_some()) {
@@ -475,10 +503,8 @@
 
     /// Puts a request that waits here in its node's queue, checks the forecast and sends what may go.
     fn enqueue(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
-        let Some((shard, units)) = self.jobs.get(&id).map(|job| (job.request.shard, job.request.units))
-        else {
-            return;
-        };
+        let Some(job) = self.jobs.get(&id) else { return };
+        let (shard, units) = (job.request.shard, job.request.units);
         let (home, wait) = (self.home(now, shard, units), self.settings.max_retry_after);
         let (Some(job), Some(index)) = (self.jobs.get_mut(&id), home) else {
             return self.finish(now, id, wait, actions);
@@ -494,9 +520,9 @@
 
     /// Counts an arrival at its value: what keeps arriving ahead of a request delays it like what is held.
     fn note_inflow(&mut self, now: f64, index: usize, value: f64, units: f64) {
-        let added = units * 1000.0 / self.inflow_span;
+        let added = units * 1000.0 / self.settings.widest_aim();
         let node = &mut self.nodes[index];
-        let fade = (-(now - node.inflow_at).max(0.0) / self.inflow_span).exp();
+        let fade = (-(now - node.inflow_at).max(0.0) / self.settings.widest_aim()).exp();
         node.inflow_at = now;
         node.inflow.iter_mut().for_each(|pair| pair.1 *= fade);
         match node.inflow.iter_mut().find(|pair| (pair.0 - value).abs() < 1e-9) {
@@ -510,19 +536,15 @@
     fn inflow_above(&self, now: f64, index: usize, value: f64) -> f64 {
         let node = &self.nodes[index];
         let above: f64 = node.inflow.iter().filter(|pair| pair.0 > value + 1e-9).map(|pair| pair.1).sum();
-        above * (-(now - node.inflow_at).max(0.0) / self.inflow_span).exp()
+        above * (-(now - node.inflow_at).max(0.0) / self.settings.widest_aim()).exp()
     }
 
     fn ended(&mut self, now: f64, end: &AttemptEnd, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&end.request) else { return };
-        let Some(attempt) = job.attempts.get_mut(usize::from(end.attempt)) else { return };
-        if attempt.outcome.is_some() {
-            return;
-        }
+        let attempt = job.attempts.get_mut(usize::from(end.attempt));
+        let Some(attempt) = attempt.filter(|attempt| attempt.outcome.is_none()) else { return };
         attempt.outcome = Some(end.outcome);
-        let (index, sent) = (attempt.node, attempt.sent);
-        let (units, volume) = (job.request.units, job.request.volume);
-        let key = job.request.key;
+        let (index, sent, units) = (attempt.node, attempt.sent, job.request.units);
         // A lost one has left the node's count already; a late answer shows that the node lives.
         let outs = &mut self.nodes[index].outs;
         if let Some(place) = outs.iter().position(|out| out.1 == end.request) {
@@ -531,18 +553,18 @@
         } else if end.outcome == Outcome::Served {
             (self.nodes[index].last_answer, self.nodes[index].failures) = (now, 0);
         }
-        if let Some(volume) = self.volumes.get_mut(&volume) {
+        let Some(job) = self.jobs.get_mut(&end.request) else { return };
+        if let Some(volume) = self.volumes.get_mut(&job.request.volume) {
             // Served elsewhere beyond the reserve is no debt: a surge there must not cost it later ones here.
             let left = (volume.reserve.level - end.elsewhere.max(0.0)).max(0.0);
             volume.reserve.level = volume.reserve.level.min(left);
         }
         if matches!(end.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
             // The attempt may still be running: its key rests, a tick longer than asked.
-            if let Some(turn) = self.turns.get_mut(&key) {
+            if let Some(turn) = self.turns.get_mut(&job.request.key) {
                 turn.rest_until = Some(now + self.settings.rules.key_rest + self.settings.tick);
             }
         }
-        let Some(job) = self.jobs.get_mut(&end.request) else { return };
         if end.over || job.over {
             self.close(end.request);
         } else if job.out() == 0 {
@@ -576,9 +598,8 @@
     fn learn(&mut self, now: f64, index: usize, sent: f64, units: f64, end: Outcome, out: &mut Vec<Action>) {
         let jitter = 0.5 + self.random();
         let node = &mut self.nodes[index];
-        let full = node.out as f64 + 1.0 > node.floor;
-        node.out -= 1;
-        node.out_units = if node.out == 0 { 0.0 } else { node.out_units - units };
+        let full = node.outs.len() as f64 + 2.0 > node.floor;
+        node.out_units = if node.outs.is_empty() { 0.0 } else { node.out_units - units };
         // The floor follows the time to answer, sized by the request, whoever fills the node: few hosts may
         // use all of it, many come below one request each and rest between sends. Slow, cold and silent nodes
         // meet it too, so one that returns is tried gently. Can harm where a heavy request looks like a
@@ -649,8 +670,7 @@
         while let Some(&(sent, _, units)) = self.nodes[index].outs.front().filter(|out| now - out.0 > limit) {
             let node = &mut self.nodes[index];
             node.outs.pop_front();
-            node.out -= 1;
-            node.out_units = if node.out == 0 { 0.0 } else { node.out_units - units };
+            node.out_units = if node.outs.is_empty() { 0.0 } else { node.out_units - units };
             node.gap_from = now;
             if node.last_answer <= sent {
                 let jitter = 0.5 + self.random();
@@ -688,7 +708,7 @@
         let node = &self.nodes[index];
         // Work out without an answer for longer than usual counts as the next gap already: a hung node must
         // not look short of work. A stall that just ends is forgotten with the first answer.
-        let open = if node.out > 0 { now - node.gap_from } else { 0.0 };
+        let open = if node.outs.is_empty() { 0.0 } else { now - node.gap_from };
         node.pace.rate(open / PATIENCE).or(self.typical.rate(0.0))
     }
 
@@ -698,7 +718,7 @@
     /// a node is of one low kind.
     fn opens(&self, index: usize, value: f64) -> f64 {
         let node = &self.nodes[index];
-        let trial = if node.failures >= SUSPECT_AFTER && node.out == 0 { node.trial_at } else { 0.0 };
+        let trial = if node.failures >= SUSPECT_AFTER && node.outs.is_empty() { node.trial_at } else { 0.0 };
         let rest = node.rest * (self.best_value / value.max(1e-9)).max(1.0);
         trial.max(node.rest_from + rest.min(self.tightest_aim * REST_CAP_AIMS))
     }
@@ -706,12 +726,13 @@
     /// Whether another request fits at a node: the design's bound, one trial for a suspect node.
     fn fits(&self, now: f64, index: usize, units: f64) -> bool {
         let node = &self.nodes[index];
-        if node.out >= BOUND_CAP || node.failures >= SUSPECT_AFTER && node.out > 0 {
+        let out = node.outs.len();
+        if out >= BOUND_CAP || node.failures >= SUSPECT_AFTER && out > 0 {
             return false;
         }
         let rate = self.rate(now, index).unwrap_or(0.0);
-        node.out == 0
-            || node.out as f64 + 1.0 <= node.floor
+        out == 0
+            || out as f64 + 1.0 <= node.floor
             || node.out_units + units <= rate * AIM_PART * self.tightest_aim / 1000.0
     }
 
@@ -732,12 +753,8 @@
             let (reserve, tag) = match left.get(&entry.4) {
                 Some(&pair) => pair,
                 None => {
-                    let reserve = self.volumes.get_mut(&entry.4).map_or(0.0, |volume| {
-                        let plan = &self.settings.plans[volume.plan];
-                        let part = if self.settings.tells_elsewhere { 1.0 } else { 1.0 / volume.hosts };
-                        let depth = plan.reserve * part + self.settings.most_units;
-                        volume.reserve.fill(now, plan.reserve * part, depth)
-                    });
+                    let volume = self.volumes.get_mut(&entry.4);
+                    let reserve = volume.map_or(0.0, |volume| volume.fill_reserve(now, &self.settings));
                     let node = &self.nodes[index];
                     (reserve, node.tags.get(&entry.4).map_or(0.0, |tag| tag - node.clock).max(0.0))
                 }
@@ -785,7 +802,8 @@
             // it, unseen here: at a node without room for two, what is put past the aim will be late. With
             // few hosts that would refuse what can be served.
             let drawn = drawn.entry(volume).or_default();
-            let store = if charged { 0.0 } else { self.limit_wait(now, volume, units + *drawn) };
+            let wait = |volume: &mut Volume| volume.limit_wait(now, &self.settings, units + *drawn);
+            let store = if charged { 0.0 } else { self.volumes.get_mut(&volume).map_or(f64::INFINITY, wait) };
             let forecast = (opens - now).max(store) + work;
             let crowd =
                 self.settings.hosts as usize > self.homes.len() && self.nodes[index].floor < FLOOR_START;
@@ -843,26 +861,13 @@
         }
         let units = job.request.units;
         // Limit: the first send draws from this host's part of the volume's store.
-        let (volume, charged) = (job.request.volume, job.charged);
-        if !charged && self.limit_wait(now, volume, units) > 0.0 {
+        let volume = self.volumes.get_mut(&job.request.volume);
+        if !job.charged && volume.is_none_or(|v| v.limit_wait(now, &self.settings, units) > 0.0) {
             return false;
         }
         self.cold_wait(now, index, units, 0.0) <= 0.0
     }
 
-    /// How long until this host's part of a volume's limit holds so many units.
-    fn limit_wait(&mut self, now: f64, volume: u64, units: f64) -> f64 {
-        let Some(volume) = self.volumes.get_mut(&volume) else { return f64::INFINITY };
-        let plan = &self.settings.plans[volume.plan];
-        if plan.limit <= 0.0 {
-            return 0.0;
-        }
-        // A twentieth of the slack stays unused, for rounding.
-        let depth = (plan.limit_depth + plan.limit_slack * 0.95) / volume.hosts;
-        let rate = plan.limit / volume.hosts;
-        ((units - volume.limit.fill(now, rate, depth)) / rate * 1000.0).max(0.0)
-    }
-
     /// What a cold node bears from all hosts together within the fall window, in units: `cold_units`, growing
     /// as its capacity surely does, reckoned for the start of the window. `None` for a warm node.
     fn cold_bears(&self, now: f64, index: usize) -> Option<f64> {
@@ -916,10 +921,9 @@
         let node = &mut self.nodes[index];
         let units = job.request.units;
         node.unhold(id, units);
-        if node.out == 0 {
+        if node.outs.is_empty() {
             node.gap_from = now;
         }
-        node.out += 1;
         node.out_units += units;
         node.outs.push_back((now, id, units));
         if cold {
@@ -939,18 +943,15 @@
                 volume.reserve.level -= units;
             } else {
                 // Beyond the reserve: the volume's tag moves by its weight, the clock by all that ask here.
-                let volume = job.request.volume;
-                let others = node.tags.keys().filter(|&&other| other != volume);
+                let others = node.tags.keys().filter(|&&other| other != job.request.volume);
                 let weigh = |v: &u64| self.volumes.get(v).map_or(0.0, |v| self.settings.plans[v.plan].weight);
                 let all = weight + others.map(weigh).sum::<f64>();
-                let tag = node.tags.get(&volume).copied().unwrap_or(0.0).max(node.clock);
-                node.tags.insert(volume, tag + units / weight);
+                let tag = node.tags.get(&job.request.volume).copied().unwrap_or(0.0).max(node.clock);
+                node.tags.insert(job.request.volume, tag + units / weight);
                 node.clock += units / all;
-                let clock = node.clock;
-                node.tags.retain(|_, tag| *tag > clock);
+                node.tags.retain(|_, tag| *tag > node.clock);
             }
         }
-        let Some(job) = self.jobs.get_mut(&id) else { return };
         job.charged = true;
         job.held = false;
         job.attempts.push(Attempt { node: index, sent: now, outcome: None });
@@ -959,10 +960,7 @@
 
     /// The one place that gives final answers: a refusal only where a retry can do no harm.
     fn finish(&mut self, now: f64, id: RequestId, wait: f64, actions: &mut Vec<Action>) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        if job.over {
-            return;
-        }
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.over) else { return };
         let class = &self.settings.classes[job.class];
         let known_twice = class.repeat == Repeat::Keyed && class.group == Group::All;
         let harmless = class.repeat == Repeat::Safe || known_twice || job.may_have_run().is_none();
@@ -993,11 +991,10 @@
         if job.out() > 0 {
             return;
         }
-        let key = job.request.key;
         self.due.remove(&(job.request.deadline.max(0.0).to_bits(), id));
-        self.jobs.remove(&id);
-        if let Some(turn) = self.turns.get_mut(&key) {
+        if let Some(turn) = self.turns.get_mut(&job.request.key) {
             turn.line.retain(|&other| other != id);
         }
+        self.jobs.remove(&id);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -220,6 +220,33 @@
         }
         Ok(())
     }
+
+    /// Puts other figures of the same plans in place, and gives the settings as they were; or changes nothing.
+    pub(crate) fn replace_plans(&mut self, plans: Vec<Plan>) -> Result<Settings, SettingsError> {
+        if plans.len() != self.plans.len() {
+            return Err(SettingsError::OtherPlans { held: self.plans.len(), came: plans.len() });
+        }
+        let new = Settings { plans, ..self.clone() };
+        new.check()?;
+        Ok(std::mem::replace(self, new))
+    }
+
+    /// Worth of the best work: the dearest class at the dearest price.
+    pub(crate) fn best_value(&self) -> f64 {
+        let worth = self.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
+        worth * self.plans.iter().map(|p| p.price).fold(0.0, f64::max)
+    }
+
+    /// The tightest of the classes' aims, no less than a look at the clock or a millisecond.
+    pub(crate) fn tightest_aim(&self) -> f64 {
+        let tightest = self.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min);
+        tightest.max(self.tick).max(1.0)
+    }
+
+    /// The widest of the classes' aims: the time over which arrivals are counted.
+    pub(crate) fn widest_aim(&self) -> f64 {
+        self.classes.iter().map(|c| c.aim).fold(1.0, f64::max)
+    }
 }
 
 /// Settings that no decision can be built on.
@@ -231,6 +258,13 @@
     NoPlans,
     /// A figure is negative, not a number or infinite.
     BadFigure(&'static str),
+    /// Plans cannot be added or dropped while a scheduler runs: their numbers name them.
+    OtherPlans {
+        /// How many it has.
+        held: usize,
+        /// How many came.
+        came: usize,
+    },
 }
 
 impl fmt::Display for SettingsError {
@@ -239,6 +273,9 @@
             SettingsError::NoClasses => f.write_str("settings name no request class"),
             SettingsError::NoPlans => f.write_str("settings name no plan"),
             SettingsError::BadFigure(what) => write!(f, "settings give no usable figure for {what}"),
+            SettingsError::OtherPlans { held, came } => {
+                write!(f, "settings name {came} plans where {held} are held, which stay as many")
+            }
         }
     }
 }
