Follow the fleet's configuration in the program: plans and discovery, shown at the door

Need: a change for every scheduler of a fleet, without a reload of each and without a restart.

Change: [configuration] in the operator's file (daemon/src/configuration.rs) names sources; Control follows them. A document may set plans' figures and discovery; it is laid over this scheduler's own files, checked whole and then put in force or refused by the key that is wrong. A document that names discovery wins over SIGHUP until one comes that does not. GET /control/configuration shows what is in force, where from and what was refused.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -1,12 +1,14 @@
 //! Where configuration is read, checked and given defaults: the environment, the platform's JSON file and
 //! the operator's file. Each fault names its key.
 
+use crate::configuration::{self, OperatorConfiguration};
 use crate::discovery::{List, ListError};
 use crate::http::FrontClass;
 use crate::membership::MembershipConfig;
 use crate::nbd::{Export, ExportClass, NbdConfig};
 use crate::store::{MOST_BODY, StoreSettings};
 use crate::telemetry::OtlpConfig;
+use pointcross_configuration::FollowerSettings;
 use pointcross_membership::age::Ages;
 use pointcross_membership::cold::ColdRules;
 use pointcross_membership::decide::Bounds;
@@ -60,6 +62,8 @@
     pub ramp: Option<RampRules>,
     /// The other schedulers and how machines are taken out, where the operator's file says (`[maintenance]`).
     pub maintenance: Option<PeerSettings>,
+    /// Where the fleet's configuration is followed, where the operator's file says (`[configuration]`).
+    pub configuration: Option<FollowerSettings>,
 }
 
 /// `[list_calls]`: how calls for the list are spaced, so that a hall of schedulers spares the list service.
@@ -161,7 +165,7 @@
     }
 
     /// Notes a fault where something does not hold.
-    fn want(&mut self, holds: bool, key: &str, text: impl ToString) {
+    pub(crate) fn want(&mut self, holds: bool, key: &str, text: impl ToString) {
         if !holds {
             self.0.push(bad(key, text));
         }
@@ -202,7 +206,7 @@
 }
 
 /// The operator's file, as it is written. Keys that it does not know are faults, not to be passed over.
-#[derive(Deserialize)]
+#[derive(Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Operator {
     nbd: Option<OperatorNbd>,
@@ -211,6 +215,7 @@
     list_calls: Option<OperatorListCalls>,
     ramp: Option<OperatorRamp>,
     maintenance: Option<OperatorMaintenance>,
+    configuration: Option<OperatorConfiguration>,
 }
 
 #[derive(Deserialize)]
@@ -702,6 +707,10 @@
             ("otlp", self.otlp == new.otlp),
             ("ramp", self.ramp == new.ramp),
             ("maintenance", lasting(&self.maintenance) == lasting(&new.maintenance)),
+            (
+                "configuration",
+                configuration::lasting(&self.configuration) == configuration::lasting(&new.configuration),
+            ),
         ];
         same.into_iter().filter(|(_, same)| !same).map(|(key, _)| key).collect()
     }
@@ -748,12 +757,11 @@
         };
         let operator: Option<Operator> =
             faults.keep(toml::from_str(operator).map_err(|error| bad(OPERATOR_FILE, error)));
-        let (nbd, otlp, membership, list_calls, ramp, maintenance) = operator
-            .map_or((None, None, None, None, None, None), |of| {
-                (of.nbd, of.otlp, of.membership, of.list_calls, of.ramp, of.maintenance)
-            });
+        let Operator { nbd, otlp, membership, list_calls, ramp, maintenance, configuration } =
+            operator.unwrap_or_default();
         let name = stated("RELAY_NAME", file.name).unwrap_or_else(|| "pointcross".to_owned());
         let maintenance = maintenance.and_then(|of| of.check(&name, seed.unwrap_or(0), &mut faults));
+        let configuration = configuration.map(|of| of.check(&name, seed.unwrap_or(0), &mut faults));
         let ramp = ramp.map(|ramp| ramp.check(&mut faults));
         let list_calls = list_calls.map(|calls| calls.check(&mut faults));
         let membership = match (membership, &parsed) {
@@ -786,6 +794,7 @@
                     list_calls,
                     ramp,
                     maintenance,
+                    configuration,
                 })
             }
             _ => Err(faults),
--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -6,10 +6,12 @@
 //! against word that is said to hold before it does: [`InForce`] changes only once the core has been told.
 
 use crate::config::Config;
+use crate::configuration::{Place, Taker};
 use crate::discovery::{self, Pace, Sink};
 use crate::membership;
 use crate::reload::Reload;
 use crate::{StartError, maintenance, ops};
+use pointcross_configuration::{FollowerSettings, Status, Take};
 use pointcross_core::decide::ListKind;
 use pointcross_core::{Core, Guard};
 use pointcross_membership::decide::Effects;
@@ -18,7 +20,6 @@
 use pointcross_membership::ramp::Ramp;
 use pointcross_membership::ramped::Ramped;
 use pointcross_peers::drive::{Bound, Peers};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::watch;
 
@@ -42,6 +43,12 @@
         }
     }
 
+    pub(crate) fn configuration(&self, version: u64) {
+        if self.changed(|now| now.configuration = version) {
+            tracing::debug!(target: "pointcross::in_force", "configuration version={version}");
+        }
+    }
+
     fn changed(&self, change: impl FnOnce(&mut InForce)) -> bool {
         self.0.send_if_modified(|now| {
             let before = *now;
@@ -55,7 +62,9 @@
 pub struct Control {
     config: Config,
     core: Arc<Core>,
-    discovery: watch::Sender<SocketAddr>,
+    place: Arc<Place>,
+    /// Where the fleet's configuration is followed, with what is shown of it.
+    follower: Option<(FollowerSettings, watch::Sender<Status>)>,
     /// The other schedulers, where the operator's file names them.
     peers: Option<Bound>,
     /// What decides on membership, where the operator's file turns it on.
@@ -99,13 +108,15 @@
         if let Some(vetted) = &vetted {
             vetted.attach(&core);
         }
-        let (discovery, _) = watch::channel(config.discovery);
+        let place = Arc::new(Place::new(config.discovery));
+        let shown = watch::channel(Status::default()).0;
+        let follower = config.configuration.clone().map(|settings| (settings, shown));
         let peers = match &config.maintenance {
             None => None,
             Some(settings) => Some(Bound::start(settings.clone()).await?),
         };
         let (orders, saying) = (core.follow_orders(), Saying(Arc::new(watch::channel(InForce::default()).0)));
-        Ok(Control { config, core, discovery, peers, vetted, begin, orders, saying })
+        Ok(Control { config, core, place, follower, peers, vetted, begin, orders, saying })
     }
 
     /// The core.
@@ -115,7 +126,7 @@
 
     /// Takes new configurations while [`Control::run`] runs.
     pub fn reload(&self) -> Reload {
-        Reload::new(self.config.clone(), self.discovery.clone())
+        Reload::new(self.config.clone(), self.place.clone())
     }
 
     /// What is in force, now and from now on.
@@ -123,6 +134,11 @@
         self.saying.0.subscribe()
     }
 
+    /// What is in force of the fleet's configuration, where one is followed.
+    pub fn followed(&self) -> Option<watch::Receiver<Status>> {
+        self.follower.as_ref().map(|(_, shown)| shown.subscribe())
+    }
+
     pub(crate) fn config(&self) -> &Config {
         &self.config
     }
@@ -158,7 +174,7 @@
     /// ends by itself; dropped, it leaves the core as it is.
     pub async fn run(mut self, service: ops::Service) {
         self.begin();
-        let Control { config, core, discovery, peers, vetted, mut orders, saying, .. } = self;
+        let Control { config, core, place, follower, peers, vetted, mut orders, saying, .. } = self;
         let hands = maintenance::AtHand::new(core.clone(), service);
         let peering = async move {
             match peers {
@@ -166,7 +182,23 @@
                 None => std::future::pending().await,
             }
         };
-        let mut place = discovery.subscribe();
+        let (put, base) = (saying.clone(), config.parsed.clone());
+        let mut at = place.subscribe();
+        let taker = Taker {
+            base,
+            core: core.clone(),
+            place,
+            in_force: Box::new(move |version| put.configuration(version)),
+        };
+        let configuring = async move {
+            match follower {
+                Some((settings, shown)) => {
+                    let take: Arc<dyn Take> = Arc::new(taker);
+                    pointcross_configuration::drive::follow(settings, take, shown).await;
+                }
+                None => std::future::pending().await,
+            }
+        };
         let known = &config.known;
         let pace = config.list_calls.map(|calls| {
             let holds = !known.members.is_empty();
@@ -175,11 +207,12 @@
         });
         let in_force = |revision| saying.list(revision);
         let sink = Sink { core: &core, vetted: vetted.as_deref(), in_force: &in_force };
-        let following = discovery::follow(sink, &config.parsed.zones, known, &mut orders, &mut place, pace);
+        let following = discovery::follow(sink, &config.parsed.zones, known, &mut orders, &mut at, pace);
         tokio::select! {
             () = core.run_timers() => {}
             () = following => {}
             () = peering => {}
+            () = configuring => {}
         }
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod client_stream;
 pub mod config;
+pub mod configuration;
 pub mod control;
 pub mod discovery;
 pub mod http;
@@ -208,8 +209,9 @@
             service.clone(),
         ));
         let classes = config.front_classes().into_iter().map(|class| class.name).collect();
-        let (moved, plan) = (service.clone(), control.peers());
-        let door = Arc::new(ops::Door::new(core.clone(), front.clone(), moved, classes, bans, plan));
+        let (moved, plan, followed) = (service.clone(), control.peers(), control.followed());
+        let door =
+            Arc::new(ops::Door::new(core.clone(), front.clone(), moved, classes, bans, plan, followed));
         // Without a door this never ends: it must not end the program's run.
         let door = async move {
             match ops {
--- a/daemon/src/ops/decide.rs
+++ b/daemon/src/ops/decide.rs
@@ -1,6 +1,7 @@
 //! The door's decisions, without sockets: which call a request is, what is wrong with it, and the counters'
 //! text. Guards against a door that does what a malformed call seems to say.
 
+use pointcross_configuration::Status;
 use pointcross_peers::maintenance::decide::Machine;
 use std::fmt::Write;
 
@@ -30,6 +31,8 @@
     Ask(Machine),
     /// The same with `done`: its work is done.
     Done(Machine),
+    /// `GET /control/configuration`: what is in force of the fleet's configuration.
+    Configuration,
 }
 
 /// Why a request is no call of the door's, with the status it is answered with.
@@ -80,6 +83,7 @@
             (if *turn == "offline" { Call::Offline(id) } else { Call::Online(id) }, "PUT")
         }
         ["maintenance"] => (Call::Plan, "GET"),
+        ["configuration"] => (Call::Configuration, "GET"),
         ["maintenance", kind @ ("storage-nodes" | "schedulers"), id, turn @ ("out" | "done")] => {
             let id = checked_id(id)?;
             let machine = if *kind == "schedulers" { Machine::Scheduler(id) } else { Machine::Node(id) };
@@ -96,6 +100,18 @@
     Ok(call)
 }
 
+/// What is in force of the fleet's configuration, as one line of JSON.
+pub fn configuration(status: &Status) -> String {
+    let refused = status.refused.as_ref();
+    let refused = refused.map(|(version, error)| serde_json::json!({"version": version, "error": error}));
+    let source = status.source.map(|source| source.to_string());
+    let (version, unreachable) = (status.version, status.unreachable);
+    let line = serde_json::json!(
+        {"version": version, "source": source, "unreachable": unreachable, "refused": refused}
+    );
+    format!("{line}\n")
+}
+
 fn checked_id(id: &str) -> Result<String, Wrong> {
     let fits = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-' | ':');
     if id.is_empty() || id.len() > MOST_ID || !id.chars().all(fits) {
--- a/daemon/src/ops/mod.rs
+++ b/daemon/src/ops/mod.rs
@@ -16,6 +16,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use pointcross_configuration::Status;
 use pointcross_core::Core;
 use pointcross_peers::drive::Peers;
 use std::convert::Infallible;
@@ -128,6 +129,8 @@
     bans: Option<PathBuf>,
     /// The other schedulers, where the operator's file names them.
     peers: Option<Arc<Peers>>,
+    /// What is in force of the fleet's configuration, where the operator's file has one followed.
+    followed: Option<watch::Receiver<Status>>,
 }
 
 impl Door {
@@ -139,8 +142,9 @@
         classes: Vec<String>,
         bans: Option<PathBuf>,
         peers: Option<Arc<Peers>>,
+        followed: Option<watch::Receiver<Status>>,
     ) -> Self {
-        Door { core, front, service, classes, bans, peers }
+        Door { core, front, service, classes, bans, peers, followed }
     }
 
     /// The figures now.
@@ -192,6 +196,12 @@
                 Some(peers) => settled(peers.done(machine).await),
                 None => no_plan(),
             },
+            Call::Configuration => match &self.followed {
+                Some(status) => (StatusCode::OK, decide::configuration(&status.borrow())),
+                None => {
+                    (StatusCode::NOT_FOUND, "configuration: this scheduler follows none of a fleet\n".into())
+                }
+            },
             Call::Offline(id) => self.turn(&id, true),
             Call::Online(id) => self.turn(&id, false),
         }
--- a/daemon/src/reload.rs
+++ b/daemon/src/reload.rs
@@ -1,23 +1,23 @@
 //! A new configuration for a running program: told by SIGHUP, checked whole, then taken or left.
 
 use crate::config::{Config, Faults};
-use std::net::SocketAddr;
+use crate::configuration::Place;
+use std::sync::Arc;
 use tokio::signal::unix::Signal;
-use tokio::sync::watch;
 
 /// Takes new configurations for a running [`crate::Daemon`].
 pub struct Reload {
     config: Config,
-    discovery: watch::Sender<SocketAddr>,
+    discovery: Arc<Place>,
 }
 
 impl Reload {
-    pub(crate) fn new(config: Config, discovery: watch::Sender<SocketAddr>) -> Self {
+    pub(crate) fn new(config: Config, discovery: Arc<Place>) -> Self {
         Reload { config, discovery }
     }
 
-    /// Takes what may change while the program runs: where discovery answers. A faulty configuration changes
-    /// nothing, and neither does one that is as before.
+    /// Takes what may change while the program runs: where discovery answers, unless a document of the fleet's
+    /// configuration names that. A faulty configuration changes nothing, and neither does one that is as before.
     pub fn apply(&mut self, new: Result<Config, Faults>) {
         let new = match new {
             Ok(new) => new,
@@ -27,11 +27,7 @@
         if !restart.is_empty() {
             tracing::warn!(?restart, "these keys differ and take a restart");
         }
-        let moved = self.discovery.send_if_modified(|address| {
-            let moved = *address != new.discovery;
-            *address = new.discovery;
-            moved
-        });
+        let moved = self.discovery.by_files(new.discovery);
         tracing::info!(discovery = %new.discovery, moved, "configuration read again");
     }
 
--- a/daemon/tests/control.rs
+++ b/daemon/tests/control.rs
@@ -4,6 +4,7 @@
 use pointcross::ops::Service;
 use pointcross_rig::*;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::sync::watch;
 
 /// A list service and the switch of what it lists. The node's address is never listened on.
@@ -19,7 +20,9 @@
 }
 
 async fn list_in_force(watch: &mut watch::Receiver<InForce>, wanted: u64) {
-    watch.wait_for(|now| now.list == wanted).await.expect("the control ended");
+    let waited = watch.wait_for(|now| now.list == wanted);
+    let waited = tokio::time::timeout(Duration::from_secs(20), waited).await;
+    waited.unwrap_or_else(|_| panic!("list {wanted} never came into force")).expect("the control ended");
 }
 
 /// Guards against a half that needs the other one, that cannot be moved to another thread's task, or that takes
@@ -75,7 +78,7 @@
     list_in_force(&mut said, 7).await;
     change.send_replace((3, String::new()));
     // The call after the one that brought an older list asks for the whole of it.
-    whole.wait_for(|asked| *asked).await.unwrap();
+    tokio::time::timeout(Duration::from_secs(20), whole.wait_for(|asked| *asked)).await.unwrap().unwrap();
     assert_eq!(said.borrow().list, 7);
     open.send_replace(true);
     list_in_force(&mut said, 3).await;
