--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -15,11 +15,16 @@
 impl Slots {
     /// Counts a call at `at` after the start.
     pub fn note(&mut self, at: Duration) {
+        self.note_many(at, 1);
+    }
+
+    /// Counts so many at once, such as bytes.
+    pub fn note_many(&mut self, at: Duration, many: u32) {
         let slot = ((at.as_millis() / SLOT.as_millis()) as usize).min(MOST_SLOTS - 1);
         if self.0.len() <= slot {
             self.0.resize(slot + 1, 0);
         }
-        self.0[slot] += 1;
+        self.0[slot] = self.0[slot].saturating_add(many);
     }
 
     /// All calls.
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod plan;
 pub mod process;
+pub mod scale;
 pub mod scenario;
 pub mod virtual_time;
 
--- a/fleet/src/link.rs
+++ b/fleet/src/link.rs
@@ -4,6 +4,7 @@
 //! Guards against a rig whose faults are not those of a network: a link that is dropped says nothing (the
 //! connections stay open and silent, new ones never come up), a refused one resets, a cut one ends in the middle.
 
+use crate::scale::meter::Taken;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, LogNormal};
@@ -47,7 +48,15 @@
     /// Where the scheduler is told its peer is.
     pub address: SocketAddr,
     fault: Arc<watch::Sender<Fault>>,
-    connections: Arc<AtomicU64>,
+    passed: Arc<Passed>,
+}
+
+/// What went through a link.
+#[derive(Debug, Default)]
+struct Passed {
+    connections: AtomicU64,
+    calls: AtomicU64,
+    bytes: AtomicU64,
 }
 
 /// How long a piece may be, in bytes.
@@ -59,15 +68,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let fault = Arc::new(watch::channel(Fault::Up).0);
-        let connections = Arc::new(AtomicU64::new(0));
-        let link = Link { address, fault: fault.clone(), connections: connections.clone() };
+        let passed = Arc::new(Passed::default());
+        let link = Link { address, fault: fault.clone(), passed: passed.clone() };
         tokio::spawn(async move {
             let mut number = 0u64;
             while let Ok((stream, _)) = listener.accept().await {
                 number += 1;
-                connections.fetch_add(1, Ordering::Relaxed);
+                passed.connections.fetch_add(1, Ordering::Relaxed);
                 let rng = SmallRng::seed_from_u64(seed ^ number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
-                tokio::spawn(carry(stream, peer, fault.subscribe(), rng));
+                tokio::spawn(carry(stream, peer, fault.subscribe(), rng, passed.clone()));
             }
         });
         Ok(link)
@@ -85,7 +94,14 @@
 
     /// Connections taken since it was opened.
     pub fn connections(&self) -> u64 {
-        self.connections.load(Ordering::Relaxed)
+        self.passed.connections.load(Ordering::Relaxed)
+    }
+
+    /// HTTP calls and bytes passed on since it was opened, both directions. A call is a piece towards the peer that
+    /// begins as one: exact where calls are small and follow each other on a connection.
+    pub fn taken(&self) -> Taken {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        Taken { calls: read(&self.passed.calls), bytes: read(&self.passed.bytes) }
     }
 }
 
@@ -103,7 +119,13 @@
     }
 }
 
-async fn carry(client: TcpStream, peer: SocketAddr, mut fault: watch::Receiver<Fault>, mut rng: SmallRng) {
+async fn carry(
+    client: TcpStream,
+    peer: SocketAddr,
+    mut fault: watch::Receiver<Fault>,
+    mut rng: SmallRng,
+    passed: Arc<Passed>,
+) {
     // A connection to a dropped link comes up on neither side until the link heals.
     if !passable(&mut fault).await {
         let _ = client.set_zero_linger();
@@ -120,9 +142,9 @@
     let seed = rng.random::<u64>();
     let up = async {
         let mut rng = SmallRng::seed_from_u64(seed);
-        pass(&mut client_read, &mut server_write, &mut towards, &mut rng, true).await
+        pass(&mut client_read, &mut server_write, &mut towards, &mut rng, (&passed, true)).await
     };
-    let down = pass(&mut server_read, &mut client_write, &mut fault, &mut rng, false);
+    let down = pass(&mut server_read, &mut client_write, &mut fault, &mut rng, (&passed, false));
     // Either way ending ends the connection; a refusal resets both sides.
     let reset = tokio::select! { reset = up => reset, reset = down => reset };
     if reset {
@@ -142,7 +164,7 @@
     to: &mut tokio::net::tcp::OwnedWriteHalf,
     fault: &mut watch::Receiver<Fault>,
     rng: &mut SmallRng,
-    towards_peer: bool,
+    (all, towards_peer): (&Passed, bool),
 ) -> bool {
     let mut buffer = vec![0; PIECE];
     let mut passed = 0u64;
@@ -181,6 +203,10 @@
             _ => {}
         }
         passed += piece.len() as u64;
+        all.bytes.fetch_add(piece.len() as u64, Ordering::Relaxed);
+        if towards_peer && [&b"GET "[..], b"POST ", b"PUT "].iter().any(|method| piece.starts_with(method)) {
+            all.calls.fetch_add(1, Ordering::Relaxed);
+        }
         if to.write_all(piece).await.is_err() {
             return true;
         }
--- a/fleet/src/process.rs
+++ b/fleet/src/process.rs
@@ -66,8 +66,13 @@
     meant: Arc<AtomicBool>,
     crashes: Arc<AtomicU64>,
     starts: u64,
+    log_filter: Option<String>,
+    hear: Option<Hear>,
 }
 
+/// Hears each line of a scheduler's log as it comes, with the number of the start that wrote it, from 1.
+pub type Hear = Arc<dyn Fn(u64, &str) + Send + Sync>;
+
 fn write(path: &Path, text: &str) -> Result<(), StartError> {
     std::fs::write(path, text).map_err(|error| StartError::File { path: path.to_owned(), error })
 }
@@ -93,9 +98,21 @@
             meant: Arc::default(),
             crashes: Arc::default(),
             starts: 0,
+            log_filter: None,
+            hear: None,
         }
     }
 
+    /// Has it log by this filter, and each line of its log heard as it comes, from the next start on.
+    pub fn hear(&mut self, log_filter: &str, hear: Hear) {
+        (self.log_filter, self.hear) = (Some(log_filter.to_owned()), Some(hear));
+    }
+
+    /// Its starts so far.
+    pub fn starts(&self) -> u64 {
+        self.starts
+    }
+
     /// Lays these keys over the platform's settings from the next start on; a key that holds an object is laid over it
     /// key by key.
     pub fn lay_over(&mut self, settings: &serde_json::Value) {
@@ -150,6 +167,9 @@
             write(&path, operator)?;
             command.env("POINTCROSS_OPERATOR", path);
         }
+        if let Some(filter) = &self.log_filter {
+            command.env("POINTCROSS_LOG_FILTER", filter);
+        }
         let mut child = command
             .spawn()
             .map_err(|error| StartError::Exec { program: self.launch.program.clone(), error })?;
@@ -162,9 +182,13 @@
             .await
             .map_err(|error| StartError::File { path: log_path.clone(), error })?;
         let (said, mut serving) = watch::channel(None);
+        let (hear, start) = (self.hear.clone(), self.starts);
         tokio::spawn(async move {
             let mut lines = BufReader::new(stderr).lines();
             while let Ok(Some(line)) = lines.next_line().await {
+                if let Some(hear) = &hear {
+                    hear(start, &line);
+                }
                 if let Some((_, rest)) = line.split_once("http=Some(")
                     && let Some(address) = rest.split(')').next().and_then(|text| text.parse().ok())
                 {
@@ -186,8 +210,13 @@
         Ok(address)
     }
 
+    /// Its process's id, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref()?.id()
+    }
+
     fn pid(&self) -> Option<Pid> {
-        self.child.as_ref()?.id().and_then(|id| i32::try_from(id).ok()).map(Pid::from_raw)
+        self.id().and_then(|id| i32::try_from(id).ok()).map(Pid::from_raw)
     }
 
     /// Sends SIGTERM, as a planned restart does; its end is then no crash.
