--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -95,7 +95,7 @@
     tokio::time::sleep(Duration::from_millis(50)).await;
     assert_eq!(list.take_most_watches(), 1);
     list.publish(world.lose(4, Some(0)));
-    let told = watching.await.unwrap();
+    let told = tokio::time::timeout(Duration::from_secs(1), watching).await.expect("woken").unwrap();
     assert_eq!((&told["revision"], &told["complete"]), (&2.into(), &false.into()));
     let phases: Vec<_> = told["members"].as_array().unwrap().iter().map(|member| &member["phase"]).collect();
     assert_eq!(phases, vec!["removed"; 5]);
