Hold four schedulers' changes of configuration to 4 s, through kills and a restart

Need: the sources' own followers were tested, the program's were not. Now four processes of the program follow two sources: a silent link, a killed source, a restart with the saved document and no source, an older, a foreign and a refused document, each seen at the sources and at the schedulers' doors.

--- a/cli/tests/configuration.rs
+++ b/cli/tests/configuration.rs
@@ -1,10 +1,11 @@
 //! Real processes of the program that carry a configuration: sources, and schedulers that follow them.
 
 use pointcross_configuration::decide::HOLD;
-use pointcross_configuration::drive::follow;
+use pointcross_configuration::drive::{follow, get};
 use pointcross_configuration::wire::{MOST_BYTES, State};
 use pointcross_configuration::{Document, FollowerSettings, Status, Take};
 use pointcross_fleet::link::{Fault, Link};
+use pointcross_rig::{SETTINGS, operator};
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -198,7 +199,10 @@
     let both = ["state", "--source", &at_a, "--source", &at_b, "--wait", "7", "--within-ms", "2000"];
     let output = configuration(&both);
     let why = String::from_utf8(output.stderr).unwrap();
-    assert!(output.status.code() == Some(1) && why.contains("a source does not answer; leave it out"), "{why}");
+    assert!(
+        output.status.code() == Some(1) && why.contains("a source does not answer; leave it out"),
+        "{why}"
+    );
     let output = configuration(&["state", "--source", &at_b]);
     assert!(
         String::from_utf8_lossy(&output.stdout).contains("of 4 schedulers have it in force"),
@@ -233,3 +237,111 @@
     let told = String::from_utf8(output.stderr).unwrap();
     assert!(output.status.code() == Some(1) && told.contains("document.json: cannot be read"), "{told}");
 }
+
+/// A scheduler's process; killed with the test.
+struct Scheduler {
+    child: Child,
+    door: SocketAddr,
+}
+
+impl Scheduler {
+    fn start(folder: &Path, name: &str, sources: [SocketAddr; 2]) -> Scheduler {
+        // Nobody lists nodes on port 1; what is followed here does not wait for any.
+        let platform = format!(
+            r#"{{"name":"{name}","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1f","ops":"127.0.0.1:0",
+                "settings":{SETTINGS}}}"#
+        );
+        let (config, own) = (folder.join(format!("{name}.json")), folder.join(format!("{name}.toml")));
+        std::fs::write(&config, platform).unwrap();
+        let [first, second] = sources;
+        let section = format!(
+            "[configuration]\nfleet = \"f\"\nsources = [\"{first}\", \"{second}\"]\nsaved = {:?}",
+            folder.join(format!("{name}.saved"))
+        );
+        std::fs::write(&own, operator("basic", &section)).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_pointcross"));
+        for key in ["RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_NAME", "RELAY_OPS"] {
+            command.env_remove(key);
+        }
+        command.env("RELAY_CONFIG", config).env("POINTCROSS_OPERATOR", own);
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map(Result::unwrap);
+        let door = lines.find_map(|line| line.split_once("ops=Some(")?.1.split(')').next()?.parse().ok());
+        std::thread::spawn(move || lines.for_each(drop));
+        Scheduler { child, door: door.expect("it never said where its door is") }
+    }
+
+    /// Its door's words, once they are as wanted.
+    async fn shows(&self, what: &str, wanted: impl Fn(&serde_json::Value) -> bool) {
+        let since = Instant::now();
+        loop {
+            let told = get(self.door, "/control/configuration", Duration::from_secs(1)).await.unwrap();
+            let told = serde_json::from_slice(&told).unwrap();
+            if wanted(&told) {
+                return;
+            }
+            assert!(since.elapsed() < Duration::from_secs(4), "{what}: {told}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+impl Drop for Scheduler {
+    fn drop(&mut self) {
+        let _ = (self.child.kill(), self.child.wait());
+    }
+}
+
+#[test]
+fn four_schedulers_have_changes_in_force_in_time_and_their_doors_say_so() {
+    let folder = folder("schedulers");
+    let file = folder.join("document.json");
+    let cap = |cap: u32| format!(r#""service_levels":[{{"name":"basic","weight":{cap}}}]"#);
+    publish(&file, &document("f", 1, ""));
+    let (mut a, mut b) = (Source::start(&file, "127.0.0.1:0"), Source::start(&file, "127.0.0.1:0"));
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+    let link = runtime.block_on(Link::open(a.address, 1)).unwrap();
+    let (at_a, at_b) = (a.address, b.address);
+    let sources = |i: usize| [if i == 1 { link.address } else { at_a }, at_b];
+    let mut schedulers: Vec<Scheduler> =
+        (0..4).map(|i| Scheduler::start(&folder, &format!("n{i}"), sources(i))).collect();
+    let all_show = |schedulers: &[Scheduler], what: &str, wanted: &dyn Fn(&serde_json::Value) -> bool| {
+        schedulers.iter().for_each(|scheduler| runtime.block_on(scheduler.shows(what, wanted)));
+    };
+    let version = |version: u64| move |told: &serde_json::Value| told["version"] == version;
+    in_force(&[&a, &b], 1, 4);
+    // The link of one falls silent.
+    link.set(Fault::Dropped);
+    publish(&file, &document("f", 2, &cap(2)));
+    in_force(&[&a, &b], 2, 4);
+    all_show(&schedulers, "version 2", &version(2));
+    // A source is killed.
+    a.kill();
+    publish(&file, &document("f", 3, &cap(3)));
+    in_force(&[&b], 3, 4);
+    all_show(&schedulers, "version 3", &version(3));
+    // Both are down, and a scheduler starts again: the saved document is in force.
+    b.kill();
+    drop(schedulers.remove(0));
+    schedulers.push(Scheduler::start(&folder, "n0", sources(0)));
+    all_show(&schedulers, "version 3 without sources", &|told| {
+        told["version"] == 3 && told["unreachable"] == true
+    });
+    // A source that comes back with an older file, and then with another fleet's, takes nothing back.
+    publish(&file, &document("f", 2, &cap(2)));
+    b = Source::start(&file, &at_b.to_string());
+    all_show(&schedulers, "reachable", &|told| told["unreachable"] == false);
+    let (good, state, why) = wait(&[&b], 3, 4, "500");
+    assert!(!good && why.contains("the newest version served is 2"), "{why}");
+    assert_eq!((state.version, state.schedulers, state.in_force), (2, 4, 4), "all have 3, which is newer");
+    publish(&file, &document("g", 9, ""));
+    b.says(r#"fleet: it is for \"g\", this is \"f\""#);
+    // What a scheduler cannot take leaves the last good one in force, and is shown.
+    publish(&file, &document("f", 4, r#""canary":1"#));
+    all_show(&schedulers, "refused", &|told| {
+        told["version"] == 3 && told["refused"].to_string().contains("canary")
+    });
+    publish(&file, &document("f", 5, &cap(5)));
+    in_force(&[&b], 5, 4);
+    all_show(&schedulers, "version 5", &version(5));
+}
