--- a/cli/tests/scale.rs
+++ b/cli/tests/scale.rs
@@ -6,6 +6,9 @@
 /// What follows from the design: from the moment from which the list service has a change and can be reached, whatever
 /// failed before (docs/operators/fleet.md).
 const LIST_MS: f64 = 6000.0;
+/// The same for the configuration: a version is in force everywhere within this, and after a cut once a call that the
+/// cut swallowed was given up as well.
+const CONFIGURATION_MS: f64 = 4000.0;
 
 const FAULTS: &str = r#"
 kind = "scale"
@@ -13,6 +16,7 @@
 seconds = 10.0
 start_s = 1.0
 change_rate = 4.0
+configuration_rate = 1.0
 saved = 0.5
 rack = 3
 traffic = { schedulers = 1, nodes = 4, rate = 40.0, write_share = 0.3 }
@@ -64,7 +68,7 @@
         hollow: 30,
         per_process: 10,
         nodes: 60,
-        configuration: false,
+        configuration: true,
         seed: 1311,
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
@@ -86,18 +90,26 @@
         // Revision 1 was there before; every change made one more, whoever was away meanwhile.
         assert!(result.changes > 30, "{result:?}");
         assert!(result.last_revision_everywhere.is_some_and(|last| last > result.changes), "{result:?}");
-        for worst in [result.real_told_worst_ms, result.hollow_told_worst_ms, result.told_after_cut_worst_ms] {
+        for worst in [result.real_told_worst_ms, result.hollow_told_worst_ms, result.told_after_cut_worst_ms]
+        {
             assert!(worst.is_some_and(|worst| worst < LIST_MS), "{result:?}");
         }
         assert!(result.told_after_cut > 0 && result.primary_changes == 1, "{result:?}");
         assert!(result.primary_change_worst_ms.is_some_and(|worst| worst < LIST_MS), "{result:?}");
+        assert!(result.configuration_changes > 7, "{result:?}");
+        for worst in [result.config_in_force_worst_ms, result.config_after_cut_worst_ms] {
+            assert!(worst.is_some_and(|worst| worst < CONFIGURATION_MS), "{result:?}");
+        }
         // Changes reach both sides as they are made, not with the end of a held watch.
         for half in [result.real_told_p50_ms, result.hollow_told_p50_ms] {
             assert!(half.is_some_and(|half| half < 500.0), "{result:?}");
         }
         assert_eq!((result.real_restarts, result.hollow_restarts), (1, 6));
-        assert_eq!((result.processes, result.list_watches), (8, 33));
-        assert!(result.control_bytes_per_s > Some(0.0) && result.hollow_bytes_per_s > Some(0.0), "{result:?}");
+        assert_eq!((result.processes, result.list_watches), (10, 33));
+        assert!(
+            result.control_bytes_per_s > Some(0.0) && result.hollow_bytes_per_s > Some(0.0),
+            "{result:?}"
+        );
     }
 }
 
--- a/fleet/src/scale/run.rs
+++ b/fleet/src/scale/run.rs
@@ -17,7 +17,7 @@
 use std::collections::BTreeSet;
 use std::future::pending;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -368,7 +368,7 @@
                 platform["known"] = known(&list)?;
             }
             let folder = settings.folder.join(format!("n{i}"));
-            let operator = operator(scenario, links);
+            let operator = operator(scenario, links, i, &folder);
             let operator = (!operator.is_empty()).then_some(operator);
             let launch = Launch {
                 program: settings.program.clone(),
@@ -420,11 +420,12 @@
                     zone,
                     discovery: links[0].address,
                     saved: saved(scenario, settings, number),
-                    operator: operator(scenario, links),
+                    operator: operator(scenario, links, number, &settings.folder.join("hollow")),
                 }
             })
             .collect();
         let known = if scenario.saved > 0.0 { Some(known(&self.list)?) } else { None };
+        std::fs::create_dir_all(settings.folder.join("hollow"))?;
         let mut parts: Vec<&[HollowScheduler]> = schedulers.chunks(settings.per_process).collect();
         parts.push(&[]);
         let mut hosts = Vec::new();
@@ -938,14 +939,20 @@
     Ok(serde_json::from_slice(&list.whole())?)
 }
 
-/// The operator's file of a scheduler with these links.
-fn operator(scenario: &ScaleScenario, links: &[Link]) -> String {
+/// The operator's file of scheduler `i` with these links; what it saves goes into this folder. Half of the schedulers
+/// prefer the second source.
+fn operator(scenario: &ScaleScenario, links: &[Link], i: usize, folder: &Path) -> String {
     let mut table = scenario.operator.clone();
     if links.len() > 1 {
-        let sources = links[1..].iter().map(|link| link.address.to_string().into()).collect();
+        let mut sources: Vec<toml::Value> =
+            links[1..].iter().map(|link| link.address.to_string().into()).collect();
+        let turn = i % sources.len();
+        sources.rotate_left(turn);
+        let saved = folder.join(format!("configuration-{i}.json")).display().to_string();
         let mut section = toml::Table::new();
         section.insert("fleet".into(), FLEET.into());
         section.insert("sources".into(), toml::Value::Array(sources));
+        section.insert("saved".into(), saved.into());
         table.insert("configuration".into(), section.into());
     }
     table.to_string()
