--- a/capacity/src/points.rs
+++ b/capacity/src/points.rs
@@ -58,6 +58,11 @@
         self.keys.get("set_aside").and_then(Value::as_str)
     }
 
+    /// Whether it has the key, and nothing there.
+    pub fn is_null(&self, key: &str) -> bool {
+        self.keys.get(key) == Some(&Value::Null)
+    }
+
     /// A formula over its keys.
     ///
     /// # Errors
--- a/capacity/src/slopes.rs
+++ b/capacity/src/slopes.rs
@@ -2,7 +2,7 @@
 //! (`slopes.toml`) that keeps it.
 
 use crate::fit::{Line, Size};
-use crate::formula::{Figure, Formula};
+use crate::formula::{Figure, Formula, FormulaError};
 use crate::points::{self, Point};
 use serde::Deserialize;
 use std::collections::BTreeMap;
@@ -39,6 +39,8 @@
     unit: String,
     #[serde(default)]
     take: Take,
+    #[serde(default)]
+    may_be_null: bool,
 }
 
 /// One fit, as declared.
@@ -54,6 +56,8 @@
     pub y: String,
     /// Only points with these values.
     pub filter: toml::Table,
+    /// A run may have had nothing to measure, and says so by `null`: it is passed over.
+    pub may_be_null: bool,
     /// The figure's unit.
     pub unit: String,
     /// The command that gives the points.
@@ -130,12 +134,13 @@
     let all: BTreeMap<String, RunsText> = toml::from_str(text).map_err(|error| error.to_string())?;
     let mut fits = BTreeMap::new();
     for runs in all.into_values() {
-        for (name, FitText { y, unit, take }) in runs.fit {
+        for (name, FitText { y, unit, take, may_be_null }) in runs.fit {
             let fit = Fit {
                 points: runs.points.clone(),
                 take,
                 x: runs.x.clone(),
                 y,
+                may_be_null,
                 filter: runs.filter.clone(),
                 unit,
                 command: runs.command.clone(),
@@ -181,6 +186,7 @@
         let x = x.as_ref().map_or(Ok(0.0), |x| point.figure(x));
         match (x, point.figure(&y)) {
             (Ok(x), Ok(y)) => taken.push((x, y)),
+            (_, Err(FormulaError::NotMeasured(key))) if fit.may_be_null && point.is_null(&key) => {}
             (Err(error), _) | (_, Err(error)) => {
                 lacking = Some(format!("{}: line {}: {error}", fit.points, point.line));
             }
