Tell the capacity rows to a closed pipe without a panic

Need: `lab capacity | head` ended with a panic. Change: one write, whose failure is no fault. Measured: `| head -1` prints a line and ends without one; fmt and clippy clean.

--- a/cli/src/capacity.rs
+++ b/cli/src/capacity.rs
@@ -4,7 +4,9 @@
 use pointcross_capacity::{Capacity as Worked, page, slopes};
 use serde_json::json;
 use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::fs;
+use std::io::Write as _;
 use std::path::{Path, PathBuf};
 
 #[derive(Args)]
@@ -75,10 +77,12 @@
             println!("{}", json!({ "without": self.without, "rows": rows }));
             return Ok(0);
         }
+        let mut told = String::new();
         for row in rows {
             let figure = |figure: Option<f64>| figure.map_or("-".into(), page::number);
             let basis = serde_json::to_string(&row.basis).map_err(|error| error.to_string())?;
-            println!(
+            let _ = writeln!(
+                told,
                 "margin {:>8}  need {:>14}  budget {:>14} {:<4}  {:<13} {}",
                 figure(row.margin),
                 figure(row.need),
@@ -88,6 +92,8 @@
                 row.title()
             );
         }
+        // A reader that has seen enough, such as `head`, is no fault.
+        let _ = std::io::stdout().write_all(told.as_bytes());
         Ok(0)
     }
 }
