Bound a follower's hold and names by what its source takes; log as one that serves

Cause: a hold of up to 10 s was taken, at which one lost call makes a scheduler silent at its source; a fleet's or scheduler's name over 128 bytes was taken, which every source answers 400 (daemon/src/configuration.rs, check); and a source logged errors alone, so that published versions were not named.

Change: holds of 100 to 5,000 ms, names as the sources take them, both named by key; configuration serve logs at info where nothing else is said.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -54,7 +54,10 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let serves = matches!(arguments.command, None | Some(Command::Serve));
+    let source =
+        |command: &Command| matches!(command, Command::Configuration(configuration::Configuration::Serve(_)));
+    let serves = matches!(arguments.command, None | Some(Command::Serve))
+        || arguments.command.as_ref().is_some_and(source);
     if let Err(error) = arguments.log.start(serves) {
         eprintln!("pointcross: --log-filter: {error}");
         return ExitCode::from(2);
--- a/daemon/src/configuration.rs
+++ b/daemon/src/configuration.rs
@@ -7,6 +7,7 @@
 //! a document comes that does not.
 
 use crate::config::Faults;
+use pointcross_configuration::wire::{NAME_WANTED, faulty_name};
 use pointcross_configuration::{Document, FollowerSettings, Take};
 use pointcross_core::Core;
 use pointcross_core::decide::{Plan, Settings};
@@ -21,6 +22,9 @@
 
 /// Sources at the most: enough for one in each hall.
 const MOST_SOURCES: usize = 16;
+/// The longest hold, in milliseconds: half of what makes a scheduler silent at its source (10 s), so that one call lost
+/// does not.
+const MOST_HOLD_MS: u64 = 5_000;
 
 /// The section as it is written.
 #[derive(Deserialize)]
@@ -44,12 +48,16 @@
     }
 
     pub(crate) fn check(self, name: &str, seed: u64, faults: &mut Faults) -> FollowerSettings {
-        faults.want(!self.fleet.is_empty(), "configuration.fleet", "empty; wanted the fleet's name");
+        // A source answers neither name otherwise, at no call.
+        for (key, text) in [("configuration.fleet", self.fleet.as_str()), ("name", name)] {
+            let fault = faulty_name(text);
+            faults.want(fault.is_none(), key, format!("{}; wanted {NAME_WANTED}", fault.unwrap_or_default()));
+        }
         let sources = (1..=MOST_SOURCES).contains(&self.sources.len());
         let wanted = format!("{} named; wanted 1 to {MOST_SOURCES}", self.sources.len());
         faults.want(sources, "configuration.sources", wanted);
-        let wanted = format!("{}: wanted 100 to 10000 milliseconds", self.hold_ms);
-        faults.want((100..=10_000).contains(&self.hold_ms), "configuration.hold_ms", wanted);
+        let wanted = format!("{}: wanted 100 to {MOST_HOLD_MS} milliseconds", self.hold_ms);
+        faults.want((100..=MOST_HOLD_MS).contains(&self.hold_ms), "configuration.hold_ms", wanted);
         let wanted = format!("{}: wanted 1024 to 16777216 bytes", self.most_bytes);
         faults.want((1 << 10..=16 << 20).contains(&self.most_bytes), "configuration.most_bytes", wanted);
         FollowerSettings {
--- a/daemon/tests/configuration.rs
+++ b/daemon/tests/configuration.rs
@@ -206,11 +206,17 @@
     for (more, key) in [
         ("sources = []", "configuration.sources"),
         ("sources = [\"127.0.0.1:2\"]\nhold_ms = 99", "configuration.hold_ms"),
+        ("sources = [\"127.0.0.1:2\"]\nhold_ms = 5001", "configuration.hold_ms"),
         ("sources = [\"127.0.0.1:2\"]\nmost_bytes = 1023", "configuration.most_bytes"),
     ] {
         let faults = section(more).unwrap_err().to_string();
         assert!(faults.starts_with(key), "{faults}");
     }
+    for fleet in [String::new(), "f".repeat(129), "a\\u0007".to_owned()] {
+        let section = format!("[configuration]\nfleet = \"{fleet}\"\nsources = [\"127.0.0.1:2\"]");
+        let faults = read(&section).unwrap_err().to_string();
+        assert!(faults.starts_with("configuration.fleet"), "{faults}");
+    }
     let many = section(&format!("sources = [{}]", "\"127.0.0.1:2\",".repeat(17))).unwrap_err().to_string();
     assert!(many.starts_with("configuration.sources"), "{many}");
     assert_eq!(whole.restart_keys(&read("").unwrap()), ["configuration"]);
