Measure what traffic costs one scheduler, and what quiet peers cost one another

`pointcross lab traffic idle|paced|rate|peers` starts a real scheduler (log at `info`, as it serves) before nodes that count their connections, and tells for each point its processor time by schedstat, memory, descriptors, times from the intended moment, connections opened anew, and how late the tool was itself. `peers` runs members on threads of their own, every call through a relay that counts.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod node;
 pub mod report;
 pub mod script;
+pub mod traffic;
 pub mod virtual_time;
