--- a/cli/src/traffic.rs
+++ b/cli/src/traffic.rs
@@ -65,7 +65,7 @@
     /// Members of the maintenance agreement in quiet, by a relay that counts
     Peers {
         /// Members
-        #[arg(long, value_delimiter = ',', default_value = "4,8,16,32")]
+        #[arg(long, value_delimiter = ',', default_value = "4,8,16,32,48")]
         members: Vec<usize>,
     },
 }
@@ -162,7 +162,7 @@
                 self.points(each.collect())
             }
             What::Peers { members } => {
-                within("members", members, 2, 64)?;
+                within("members", members, 2, peers::MOST_MEMBERS)?;
                 let folder = std::env::temp_dir().join(format!("pointcross-peers-{}", std::process::id()));
                 let measured = self.peers(members, &folder);
                 let _ = std::fs::remove_dir_all(&folder);
--- a/lab/src/traffic/peers.rs
+++ b/lab/src/traffic/peers.rs
@@ -18,13 +18,16 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, mpsc};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+/// More would take more descriptors than one process has: members and the relay before each are all here, and when all
+/// start at once every one calls every other several times over.
+pub const MOST_MEMBERS: usize = 48;
 /// The group has its leader and has heard of all by then, or never.
 const MOST_FORMING: Duration = Duration::from_secs(20);
 /// What goes before the window.
@@ -230,13 +233,13 @@
 pub fn measure(members: usize, seed: u64, seconds: f64, folder: &Path) -> Result<PeersPoint, LoadError> {
     let relays = tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build();
     let relays = relays.map_err(system("a runtime"))?;
-    // All bound at once and given up again, so that the ports are free and differ.
-    let free: Vec<_> = (0..members).map(|_| std::net::TcpListener::bind("127.0.0.1:0")).collect();
-    let listens: Result<Vec<SocketAddr>, _> = free
-        .into_iter()
-        .collect::<Result<Vec<_>, _>>()
-        .and_then(|all| all.iter().map(|l| l.local_addr()).collect());
-    let listens = listens.map_err(system("a port"))?;
+    // Bound and given up again, so that the ports are free. Each member has an address of its own: connections leave
+    // from 127.0.0.1, and none takes a listener's port before it starts.
+    let mut listens: Vec<SocketAddr> = Vec::new();
+    for i in 0..members {
+        let free = std::net::TcpListener::bind((Ipv4Addr::new(127, 0, 1, i as u8 + 1), 0));
+        listens.push(free.and_then(|free| free.local_addr()).map_err(system("a member's port"))?);
+    }
     let counts: Vec<Arc<Counts>> = (0..members).map(|_| Arc::default()).collect();
     let mut peers = Vec::new();
     for (i, (&to, counts)) in listens.iter().zip(&counts).enumerate() {
