--- a/lab/tests/rehearsal.rs
+++ b/lab/tests/rehearsal.rs
@@ -33,9 +33,14 @@
 #[test]
 fn the_shipped_scripts_keep_the_rules() {
     let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/rehearsals");
-    // Scenarios of the fleet rig share the folder; they are played by `pointcross lab fleet`.
+    // Scenarios of the fleet rig and of scale runs share the folder and name their kind; `pointcross lab fleet` and `lab
+    // scale` play them, and cli/tests read each.
     let paths = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
-    let paths = paths.filter(|path| !std::fs::read_to_string(path).unwrap().contains("\nkind = \"fleet\""));
+    let others = ["\nkind = \"fleet\"", "\nkind = \"scale\""];
+    let paths = paths.filter(|path| {
+        let text = std::fs::read_to_string(path).unwrap();
+        !others.iter().any(|kind| text.contains(kind))
+    });
     let scripts = paths.map(|path| {
         std::thread::spawn(move || {
             let script = script(&std::fs::read_to_string(&path).unwrap());
