--- a/src/brain.rs
+++ b/src/brain.rs
@@ -283,8 +283,9 @@
         Ok(scheduler)
     }
 
-    /// Puts other figures of the same plans in force, from the next event on, or changes nothing. What is open
-    /// and what each volume has used stay: the stores refill at the old rates up to now, at the new ones after.
+    /// Puts other figures of the same plans in force, from the next event on, or changes nothing. What is
+    /// open and what each volume has used stay: the stores refill at the old rates up to now, at the new ones
+    /// after.
     pub fn reconfigure(&mut self, now: f64, plans: Vec<Plan>) -> Result<(), SettingsError> {
         let old = self.settings.replace_plans(plans)?;
         for volume in self.volumes.values_mut() {
