--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,16 +1,12 @@
 //! The decisions of one host. What goes in and out is described in `src/interface.rs`.
 //!
 //! Map, top to bottom:
-//! - constants, each with its reason; `Store`, `Pace`, `Node`, `Volume`, `Turn`, `Job`: what is remembered;
-//! - `Scheduler`: events in, the list, arrivals, outcomes, the pulse;
-//! - `rate`, `opens`, `fits`, `order`, `serve`: the mechanism (units ahead / learned rate; refuse early);
-//! - `may_send`: the one gate that states the rules; `finish`: the one place that gives final answers.
+//! - constants, each with its reason; what is remembered; `Scheduler`: events, the list, arrivals, the pulse;
+//! - `rate` to `serve`: the mechanism; `may_send`: the rules' gate; `finish`: the only place of final answers.
 
-use crate::interface::*;
+use crate::{interface::*, learned_rate::LearnedRate};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// The paper's smoothing factor: an answer weighs a twentieth, so that single slow ones do not rule.
-const ALPHA: f64 = 0.05;
 /// Part of the tightest aim that waiting at a node may take: only what waits here keeps its order.
 const AIM_PART: f64 = 0.2;
 /// The bound's floor at a node not heard yet: one request in work while the next is on its way.
@@ -76,26 +72,6 @@
     }
 }
 
-/// Smoothed units of an answer and busy time between answers: their ratio is the learned rate.
-#[derive(Default)]
-struct Pace {
-    units: f64,
-    gap: f64,
-}
-
-impl Pace {
-    fn learn(&mut self, units: f64, gap: f64) {
-        let weight = if self.gap == 0.0 { 1.0 } else { ALPHA };
-        self.units += weight * (units - self.units);
-        self.gap += weight * (gap - self.gap);
-    }
-
-    /// Units a second, with a gap of this length at the least; `None` where nothing is learned.
-    fn rate(&self, least: f64) -> Option<f64> {
-        (self.gap > 0.0).then(|| (self.units / self.gap.max(least) * 1000.0).max(1e-3))
-    }
-}
-
 /// What this host knows of a node.
 #[derive(Default)]
 struct Node {
@@ -110,7 +86,7 @@
     out_units: f64,
     /// The attempts out there, oldest first: when sent, whose, and their units.
     outs: VecDeque<(f64, RequestId, f64)>,
-    pace: Pace,
+    learned: LearnedRate,
     /// Since when work is out there without an answer.
     gap_from: f64,
     /// Requests that may be out whatever the rate; under one, a rest follows each answer.
@@ -222,7 +198,7 @@
     born: f64,
     tightest_aim: f64,
     /// Over all nodes' answers: the rate of a node not heard yet.
-    typical: Pace,
+    typical: LearnedRate,
     /// The node for each shard: of several ready ones, the one that started last; else the last that was.
     homes: BTreeMap<u32, usize>,
     /// The shards that requests here have named, of those that have a home.
@@ -254,7 +230,7 @@
         let mut scheduler = Scheduler {
             seed,
             born: now,
-            typical: Pace::default(),
+            typical: LearnedRate::default(),
             homes: BTreeMap::new(),
             asked: BTreeSet::new(),
             best_value: settings.best_value(),
@@ -627,7 +603,7 @@
                 let step = if took / size < node.quick { QUICK_DOWN } else { QUICK_UP };
                 node.quick += if node.quick == 0.0 { took / size } else { step * (took / size - node.quick) };
                 let gap = (now - node.gap_from).max(self.settings.tick.max(0.1) / 2.0);
-                node.pace.learn(units, gap);
+                node.learned.learn(units, gap);
                 self.typical.learn(units, gap);
                 node.gap_from = now;
                 node.last_answer = now;
@@ -710,7 +686,7 @@
         // Work out without an answer for longer than usual counts as the next gap already: a hung node must
         // not look short of work. A stall that just ends is forgotten with the first answer.
         let open = if node.outs.is_empty() { 0.0 } else { now - node.gap_from };
-        node.pace.rate(open / PATIENCE).or(self.typical.rate(0.0))
+        node.learned.rate(open / PATIENCE).or(self.typical.rate(0.0))
     }
 
     /// From when a node takes work of this value from here: after its next trial if suspect, and its rest, as
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,8 @@
 
 mod brain;
 mod interface;
+mod learned_rate;
 
 pub use brain::Scheduler;
 pub use interface::*;
+pub use learned_rate::{LearnedRate, forecast};
--- /dev/null
+++ b/tier/agent/src/lib.rs
@@ -0,0 +1,60 @@
+//! The agent beside a proxy: keeps the link to the control plane and feeds the proxy over loopback, so that a
+//! proxy that restarts has at once what was in force.
+#![warn(missing_docs)]
+
+use log::info;
+use pointcross_tier_protocol::messages::{ControlCall, ControlReply};
+use pointcross_tier_protocol::settings::{InternalPort, Settings};
+use pointcross_tier_runtime::follow::{SharedView, follow_members};
+use pointcross_tier_runtime::{process, rpc, socket};
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use tokio::task::spawn_local;
+
+/// Why an agent can't serve.
+#[derive(Debug, Snafu)]
+pub enum AgentFault {
+    /// The feed's address can't be listened on.
+    #[snafu(display("{address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddrV4,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// Signals can't be waited for.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// Follows and feeds until SIGTERM, and then for as long as its proxy may need it.
+pub async fn run(settings: Settings) -> Result<(), AgentFault> {
+    let shared = SharedView::new();
+    let address = settings.feed_address();
+    let listener = socket::listen(address).context(ListenSnafu { address })?;
+    let seeds = settings.seed_addresses(InternalPort::Control);
+    spawn_local(follow_members(shared.clone(), seeds));
+    let view = shared.clone();
+    spawn_local(rpc::serve(listener, move |call| answer(view.clone(), call)));
+    spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
+    info!("feeding on {address}");
+    process::told_to_stop().await.context(SignalsSnafu)?;
+    // The proxy finishes what it took within the grace; it hears of instances that drain until then.
+    tokio::time::sleep(settings.drain_grace()).await;
+    Ok(())
+}
+
+async fn answer(shared: Rc<SharedView>, call: ControlCall) -> Option<ControlReply> {
+    match call {
+        // Nothing is told before the control plane has been heard: an empty view is no news.
+        ControlCall::Follow(_) if shared.read(|view| view.members().is_empty()) => {
+            Some(ControlReply::OutOfTouch)
+        }
+        ControlCall::Follow(request) => Some(shared.answer(&request).await),
+        ControlCall::AnnounceStore(_) | ControlCall::StoreEmptied(_) => Some(ControlReply::OutOfTouch),
+    }
+}
--- /dev/null
+++ b/tier/control/src/lib.rs
@@ -0,0 +1,80 @@
+//! A member of the control plane: votes on the register, takes the operator's orders and the schedulers'
+//! heartbeats, and tells followers what changed.
+#![warn(missing_docs)]
+
+mod followers;
+mod heartbeats;
+mod http;
+mod joining;
+mod member;
+mod messages;
+mod operator;
+mod proposer;
+mod stores;
+mod sync;
+mod voter;
+
+use log::info;
+use pointcross_tier_protocol::settings::{InternalPort, Settings, SettingsFault};
+use pointcross_tier_runtime::{process, rpc, socket};
+use pointcross_tier_storage::RingFault;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddrV4;
+use tokio::task::spawn_local;
+
+/// Why a control member can't serve.
+#[derive(Debug, Snafu)]
+pub enum ControlFault {
+    /// A setting is missing.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// Which one.
+        source: SettingsFault,
+    },
+    /// The data folder can't be used.
+    #[snafu(display("{source}"))]
+    Storage {
+        /// File and reason.
+        source: RingFault,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("{address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddrV4,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// Signals can't be waited for.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// Serves until SIGTERM.
+pub async fn run(settings: Settings) -> Result<(), ControlFault> {
+    let control_address = settings
+        .listen_addrs
+        .control_addr
+        .ok_or(SettingsFault::Missing { key: "ListenAddrs.ControlAddr", role: "control" })
+        .context(SettingsSnafu)?;
+    let member = member::Member::open(settings)?;
+    let member_address = member.settings.internal_address(InternalPort::Member);
+    let follow_address = member.settings.internal_address(InternalPort::Control);
+    let members = socket::listen(member_address).context(ListenSnafu { address: member_address })?;
+    let follow = socket::listen(follow_address).context(ListenSnafu { address: follow_address })?;
+    let outside = socket::listen(control_address).context(ListenSnafu { address: control_address })?;
+
+    let this = member.clone();
+    spawn_local(rpc::serve(members, move |call| messages::answer(this.clone(), call)));
+    let this = member.clone();
+    spawn_local(rpc::serve(follow, move |call| followers::answer(this.clone(), call)));
+    spawn_local(http::serve(member.clone(), outside));
+    spawn_local(sync::run(member.clone()));
+    spawn_local(joining::run(member.clone()));
+    spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
+    info!("serving on {control_address}");
+    process::told_to_stop().await.context(SignalsSnafu)
+}
--- /dev/null
+++ b/tier/control/src/proposer.rs
@@ -0,0 +1,179 @@
+//! Carries out proposals: sends their messages, feeds back the answers, and tries again until decided.
+
+use crate::member::Member;
+use crate::messages::{MemberCall, MemberReply};
+use log::debug;
+use pointcross_tier_protocol::Directory;
+use pointcross_tier_register::{AcceptorReply, Ballot, MemberId, Outcome, Proposal, Send, Step, Value};
+use pointcross_tier_runtime::random;
+use snafu::Snafu;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// How long a member may take to vote: a round trip between regions, and a slow sync.
+const VOTE_WITHIN: Duration = Duration::from_millis(800);
+/// The first pause after another proposal was faster; it doubles up to [`MOST_PAUSE_MS`].
+const FIRST_PAUSE_MS: u64 = 8;
+const MOST_PAUSE_MS: u64 = 128;
+/// The pause after no majority could be reached.
+const NO_QUORUM_PAUSE_MS: u64 = 60;
+
+/// A change that is neither certainly made nor certainly not made.
+#[derive(Debug, Snafu)]
+#[snafu(display("not decided in time: no majority of the control members answered"))]
+pub struct Undecided;
+
+/// What to do with the value that was read.
+pub enum Decision {
+    /// Write this one.
+    Write(Box<Value<Directory>>),
+    /// Leave it as it is.
+    Keep,
+}
+
+/// Reads the register's value, lets `decide` change it and puts the result in force. `decide` runs again where
+/// another proposal came between; what it returned last, with the value, is what holds.
+pub async fn change<T>(
+    member: &Rc<Member>,
+    deadline: Instant,
+    mut decide: impl FnMut(&Value<Directory>, bool) -> (Decision, T),
+) -> Result<(T, Value<Directory>), Undecided> {
+    let Ok(_turn) = tokio::time::timeout_at(deadline, member.proposing.lock()).await else {
+        return Err(Undecided);
+    };
+    let mut highest = Ballot::default();
+    let mut pause_ms = FIRST_PAUSE_MS;
+    while Instant::now() < deadline {
+        let mut result = None;
+        let ballot = Ballot::above(highest.max(member.voter.promised()), member.life);
+        let attempt = attempt(member, ballot, |value, may_change_group| {
+            let (decision, told) = decide(value, may_change_group);
+            result = Some(told);
+            decision
+        });
+        let Ok(outcome) = tokio::time::timeout_at(deadline, attempt).await else {
+            return Err(Undecided);
+        };
+        match outcome {
+            Outcome::InForce { ballot, value } => {
+                member.learn_in_force(ballot, value.clone());
+                let told = result.expect("a value in force was decided on");
+                return Ok((told, value));
+            }
+            Outcome::Overtaken { highest: seen } => {
+                highest = highest.max(seen);
+                tokio::time::sleep(Duration::from_millis(random::below(pause_ms) + 1)).await;
+                pause_ms = (pause_ms * 2).min(MOST_PAUSE_MS);
+            }
+            Outcome::OtherGroup { in_force, highest: seen } => {
+                highest = highest.max(seen);
+                member.learn_group(&in_force);
+            }
+            Outcome::NoQuorum => {
+                highest = highest.max(ballot);
+                tokio::time::sleep(Duration::from_millis(NO_QUORUM_PAUSE_MS)).await;
+            }
+        }
+    }
+    Err(Undecided)
+}
+
+/// Reads the register through a quorum.
+pub async fn read(member: &Rc<Member>, deadline: Instant) -> Result<Value<Directory>, Undecided> {
+    change(member, deadline, |_, _| (Decision::Keep, ())).await.map(|(_, value)| value)
+}
+
+/// Changes the directory, and leaves it where `decide` says so by `false`.
+pub async fn change_directory<T>(
+    member: &Rc<Member>,
+    deadline: Instant,
+    mut decide: impl FnMut(&mut Directory) -> (bool, T),
+) -> Result<T, Undecided> {
+    let changed = change(member, deadline, |value, _| {
+        let mut new = value.clone();
+        let (write, told) = decide(&mut new.state);
+        let decision = if write { Decision::Write(Box::new(new)) } else { Decision::Keep };
+        (decision, told)
+    });
+    changed.await.map(|(told, _)| told)
+}
+
+type Answer = (MemberId, Option<AcceptorReply<Directory>>);
+
+/// One proposal, from its first round to its end.
+async fn attempt(
+    member: &Rc<Member>,
+    ballot: Ballot,
+    mut decide: impl FnMut(&Value<Directory>, bool) -> Decision,
+) -> Outcome<Directory> {
+    let (mut proposal, first) = Proposal::start(ballot, member.group(), member.voter.accepted());
+    // Answers to an earlier round must not count in a later one: each round has a channel of its own.
+    let (mut sender, mut answers) = mpsc::unbounded_channel::<Answer>();
+    send_all(member, first, &sender);
+    loop {
+        let Some((from, reply)) = answers.recv().await else {
+            return Outcome::NoQuorum;
+        };
+        let step = match reply {
+            Some(reply) => proposal.reply(from, reply),
+            None => proposal.failed(from),
+        };
+        match step {
+            Step::Wait => {}
+            Step::Send(more) => send_all(member, more, &sender),
+            Step::End(outcome) => {
+                debug!("proposal {ballot:?}: {}", name_of(&outcome));
+                return outcome;
+            }
+            Step::Read(read) => {
+                let may_change_group = proposal.may_change_group();
+                let mut value = match decide(&read, may_change_group) {
+                    Decision::Write(value) => *value,
+                    Decision::Keep => read.clone(),
+                };
+                if may_change_group {
+                    value.previous_group = read.group;
+                }
+                (sender, answers) = mpsc::unbounded_channel();
+                send_all(member, proposal.propose(value), &sender);
+            }
+        }
+    }
+}
+
+fn name_of(outcome: &Outcome<Directory>) -> &'static str {
+    match outcome {
+        Outcome::InForce { .. } => "in force",
+        Outcome::Overtaken { .. } => "overtaken",
+        Outcome::OtherGroup { .. } => "other members are in force",
+        Outcome::NoQuorum => "no quorum",
+    }
+}
+
+fn send_all(member: &Rc<Member>, sends: Vec<Send<Directory>>, answers: &mpsc::UnboundedSender<Answer>) {
+    for send in sends {
+        let (member, answers) = (member.clone(), answers.clone());
+        spawn_local(async move {
+            let reply = ask(&member, &send).await;
+            let _ = answers.send((send.to, reply));
+        });
+    }
+}
+
+async fn ask(member: &Rc<Member>, send: &Send<Directory>) -> Option<AcceptorReply<Directory>> {
+    if send.to == member.id() {
+        return member.voter.vote(send.request.clone()).await;
+    }
+    let call = MemberCall::Vote(send.request.clone());
+    match member.peer(send.to.address).call(&call, VOTE_WITHIN).await {
+        Ok(MemberReply::Vote(reply)) => Some(reply),
+        Ok(_) => None,
+        Err(fault) => {
+            debug!("no vote: {fault}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/tier/control/src/voter.rs
@@ -0,0 +1,185 @@
+//! The voting half of a member on its disk: what an answer promises is synced before it leaves.
+
+use log::{error, info};
+use pointcross_tier_protocol::Directory;
+use pointcross_tier_register::{Acceptor, AcceptorReply, AcceptorRequest, Ballot, Durable, Group, Value};
+use pointcross_tier_runtime::{random, rpc};
+use pointcross_tier_storage::{Ring, RingFault, RingLayout};
+use serde::{Deserialize, Serialize};
+use std::cell::RefCell;
+use std::path::Path;
+use std::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// Files of the ring: one in use, one before it, one to move on to.
+const FILES: usize = 3;
+/// The longest that one file gets. It has to hold the largest value, twice.
+const MOST_FILE_LENGTH: u64 = 12 * 1024 * 1024;
+
+#[derive(Serialize, Deserialize)]
+enum Record {
+    /// The disk's number.
+    Disk(u64),
+    /// A vote.
+    Vote(Durable<Directory>),
+}
+
+struct Write {
+    vote: Durable<Directory>,
+    done: oneshot::Sender<()>,
+}
+
+/// An acceptor, and the thread that waits for its disk.
+pub struct Voter {
+    acceptor: RefCell<Acceptor<Directory>>,
+    writes: mpsc::Sender<Write>,
+}
+
+/// What a member finds on its disk, and after a first start.
+pub struct Opened {
+    /// The voter.
+    pub voter: Voter,
+    /// The newest group that is certainly in force, where the disk tells one.
+    pub group: Option<Group>,
+}
+
+impl Voter {
+    /// Opens the data folder. `first_value` is the register's first value, at the system's first start only.
+    pub fn open(
+        folder: &Path,
+        disk_mb: u64,
+        first_value: Option<Value<Directory>>,
+    ) -> Result<Opened, RingFault> {
+        let disk_bytes = disk_mb.max(16) * 1024 * 1024;
+        let file_length = (disk_bytes / (FILES as u64 + 1)).min(MOST_FILE_LENGTH);
+        let recovered = Ring::open(folder, RingLayout { files: FILES, file_length })?;
+        let mut ring = recovered.ring;
+        let mut disk = None;
+        let mut votes = Vec::new();
+        for record in &recovered.records {
+            match rpc::decode::<Record>(&record.body) {
+                Some(Record::Disk(number)) => disk = Some(number),
+                Some(Record::Vote(vote)) => votes.push(vote),
+                None => error!("a record of the register can't be read and is left out"),
+            }
+        }
+        // Members of the first start have the disk number 0, which all know without asking.
+        let number = disk.unwrap_or_else(|| if first_value.is_some() { 0 } else { random::unique() });
+        let initial = if number == 0 { first_value.or_else(|| first_of(&votes)) } else { None };
+        let mut acceptor = Acceptor::new(number, initial.clone());
+        if disk.is_none() {
+            info!("a new disk, number {number:x}");
+            ring.append(&rpc::encode(&Record::Disk(number)))?;
+            if let Some(value) = &initial {
+                let vote = Durable::Accept(Ballot::default(), value.clone());
+                ring.append(&rpc::encode(&Record::Vote(vote)))?;
+            }
+            ring.sync()?;
+        }
+        for vote in votes {
+            acceptor.recover(vote);
+        }
+        let group = acceptor.accepted().map(|(_, value)| value.previous_group.clone());
+        let (writes, queue) = mpsc::channel();
+        let mut writer = Writer { ring, disk: number, promise: acceptor.promised(), accepted: None };
+        writer.accepted = acceptor.accepted().cloned();
+        std::thread::spawn(move || writer.run(&queue));
+        Ok(Opened { voter: Voter { acceptor: RefCell::new(acceptor), writes }, group })
+    }
+
+    /// The disk's number.
+    pub fn disk(&self) -> u64 {
+        self.acceptor.borrow().disk()
+    }
+
+    /// The highest ballot promised.
+    pub fn promised(&self) -> Ballot {
+        self.acceptor.borrow().promised()
+    }
+
+    /// What was accepted last.
+    pub fn accepted(&self) -> Option<(Ballot, Value<Directory>)> {
+        self.acceptor.borrow().accepted().cloned()
+    }
+
+    /// The ballot of what was accepted last.
+    pub fn accepted_ballot(&self) -> Option<Ballot> {
+        self.acceptor.borrow().accepted().map(|(ballot, _)| *ballot)
+    }
+
+    /// Votes. Gives nothing where the vote could not be made safe.
+    pub async fn vote(&self, request: AcceptorRequest<Directory>) -> Option<AcceptorReply<Directory>> {
+        let handled = self.acceptor.borrow_mut().handle(request);
+        if let Some(vote) = handled.write {
+            let (done, written) = oneshot::channel();
+            self.writes.send(Write { vote, done }).ok()?;
+            written.await.ok()?;
+        }
+        Some(handled.reply)
+    }
+}
+
+fn first_of(votes: &[Durable<Directory>]) -> Option<Value<Directory>> {
+    votes.iter().find_map(|vote| match vote {
+        Durable::Accept(ballot, value) if *ballot == Ballot::default() => Some(value.clone()),
+        _ => None,
+    })
+}
+
+/// The thread that writes.
+struct Writer {
+    ring: Ring,
+    disk: u64,
+    promise: Ballot,
+    accepted: Option<(Ballot, Value<Directory>)>,
+}
+
+impl Writer {
+    fn run(&mut self, queue: &mpsc::Receiver<Write>) {
+        while let Ok(first) = queue.recv() {
+            let mut writes = vec![first];
+            writes.extend(queue.try_iter());
+            match self.write(&writes) {
+                Ok(()) => {
+                    for write in writes {
+                        let _ = write.done.send(());
+                    }
+                }
+                Err(fault) => error!("a vote could not be written: {fault}"),
+            }
+        }
+    }
+
+    fn write(&mut self, writes: &[Write]) -> Result<(), RingFault> {
+        for write in writes {
+            match &write.vote {
+                Durable::Promise(ballot) => self.promise = self.promise.max(*ballot),
+                Durable::Accept(ballot, value) => {
+                    self.promise = self.promise.max(*ballot);
+                    self.accepted = Some((*ballot, value.clone()));
+                }
+            }
+        }
+        let bodies: Vec<Vec<u8>> =
+            writes.iter().map(|write| rpc::encode(&Record::Vote(write.vote.clone()))).collect();
+        for body in bodies {
+            if !self.ring.fits(body.len()) {
+                self.move_on()?;
+            }
+            self.ring.append(&body)?;
+        }
+        self.ring.sync()
+    }
+
+    /// Begins the next file with all that the member has to remember.
+    fn move_on(&mut self) -> Result<(), RingFault> {
+        self.ring.advance()?;
+        self.ring.append(&rpc::encode(&Record::Disk(self.disk)))?;
+        if let Some((ballot, value)) = &self.accepted {
+            let vote = Durable::Accept(*ballot, value.clone());
+            self.ring.append(&rpc::encode(&Record::Vote(vote)))?;
+        }
+        self.ring.append(&rpc::encode(&Record::Vote(Durable::Promise(self.promise))))?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tier/protocol/src/directory.rs
@@ -0,0 +1,239 @@
+//! What the register holds: the operator's configuration with those taken before it, and the stores.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sha2::Digest as _;
+use std::net::SocketAddrV4;
+
+/// Taken configurations whose digests are remembered, so that a repeated order is known again. A day of the
+/// largest deployment has 1,300 changes; an order is repeated within seconds.
+pub const REMEMBERED_CONFIGURATIONS: usize = 1024;
+
+/// SHA-256 of a configuration's bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest(#[serde(with = "serde_bytes")] pub [u8; 32]);
+
+impl Digest {
+    /// The digest of these bytes.
+    pub fn of(bytes: &[u8]) -> Self {
+        Digest(sha2::Sha256::digest(bytes).into())
+    }
+}
+
+/// A configuration that was in force once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TakenConfiguration {
+    /// Its number.
+    pub version: u64,
+    /// Its bytes' digest.
+    pub digest: Digest,
+}
+
+/// A store's disk: the machine's name, and a number drawn when the disk was first used. A machine that lost its
+/// disk comes back as another store.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct StoreId {
+    /// The machine's name.
+    pub node: String,
+    /// The disk's number.
+    pub disk: u64,
+}
+
+/// Whether a store takes part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreState {
+    /// Takes new records.
+    Active,
+    /// Is being emptied: takes no new records, still answers reads.
+    Retiring,
+    /// Everything it held stands elsewhere.
+    Retired,
+    /// Silent while a successor came; counts as gone unless it announces itself again.
+    Lost,
+}
+
+/// A store that the tier knows of.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreEntry {
+    /// Machine and disk.
+    pub id: StoreId,
+    /// Where calls reach it.
+    pub address: SocketAddrV4,
+    /// The zone it stands in.
+    pub zone: String,
+    /// Whether it takes part.
+    pub state: StoreState,
+}
+
+/// The state that the control members agree on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Directory {
+    /// Rises with every change.
+    pub revision: u64,
+    /// Rises with every change of the stores.
+    pub store_epoch: u64,
+    /// All stores, those that are gone too (bounded: see [`MOST_GONE_STORES`]).
+    pub stores: Vec<StoreEntry>,
+    /// The configuration's number; 0 before the first.
+    pub configuration_version: u64,
+    /// The configuration, byte by byte as the operator sent it.
+    pub configuration: Bytes,
+    /// Configurations taken, oldest first.
+    pub taken: Vec<TakenConfiguration>,
+}
+
+/// Stores that are gone and still remembered.
+pub const MOST_GONE_STORES: usize = 64;
+
+/// What became of an order to replace the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReplaceOutcome {
+    /// In force now.
+    Taken,
+    /// This very configuration was taken before.
+    TakenBefore,
+    /// Another version is current than the one it builds on.
+    OtherBase {
+        /// The current one.
+        current: u64,
+    },
+    /// Its number is not above the current one.
+    NotAbove {
+        /// The current one.
+        current: u64,
+    },
+}
+
+/// What became of an order to retire a store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetireOutcome {
+    /// Begun, or under way already.
+    Begun,
+    /// No such store.
+    Unknown,
+    /// Too few would remain.
+    TooFew,
+}
+
+impl Directory {
+    /// Puts a configuration in force where it builds on the current one.
+    pub fn replace(&mut self, base: u64, version: u64, body: &Bytes) -> ReplaceOutcome {
+        let this = TakenConfiguration { version, digest: Digest::of(body) };
+        let current = self.configuration_version;
+        if self.taken.contains(&this) {
+            return ReplaceOutcome::TakenBefore;
+        }
+        if base != current {
+            return ReplaceOutcome::OtherBase { current };
+        }
+        if version <= current {
+            return ReplaceOutcome::NotAbove { current };
+        }
+        self.configuration_version = version;
+        self.configuration = body.clone();
+        self.taken.push(this);
+        let surplus = self.taken.len().saturating_sub(REMEMBERED_CONFIGURATIONS);
+        self.taken.drain(..surplus);
+        self.revision += 1;
+        ReplaceOutcome::Taken
+    }
+
+    /// The stores that take new records.
+    pub fn active_stores(&self) -> impl Iterator<Item = &StoreEntry> {
+        self.stores.iter().filter(|store| store.state == StoreState::Active)
+    }
+
+    /// The stores that may hold records.
+    pub fn readable_stores(&self) -> impl Iterator<Item = &StoreEntry> {
+        self.stores.iter().filter(|store| matches!(store.state, StoreState::Active | StoreState::Retiring))
+    }
+
+    /// The entry of this store.
+    pub fn store(&self, id: &StoreId) -> Option<&StoreEntry> {
+        self.stores.iter().find(|store| store.id == *id)
+    }
+
+    /// Enters a store that announced itself; those of `silent` are given up, as is an older disk of its machine.
+    /// Gives whether anything changed.
+    pub fn announce(&mut self, entry: &StoreEntry, silent: &[StoreId]) -> bool {
+        let known = self.stores.iter().find(|store| store.id == entry.id);
+        if let Some(known) = known {
+            let same_place = known.address == entry.address && known.zone == entry.zone;
+            if known.state != StoreState::Lost && same_place {
+                return false;
+            }
+            if known.state == StoreState::Retired {
+                return false;
+            }
+        }
+        for store in &mut self.stores {
+            let replaced = store.id.node == entry.id.node && store.id.disk != entry.id.disk;
+            let given_up = silent.contains(&store.id) && store.id != entry.id;
+            let takes_part = matches!(store.state, StoreState::Active | StoreState::Retiring);
+            if takes_part && (replaced || given_up) {
+                store.state = StoreState::Lost;
+            }
+        }
+        let state = match self.store(&entry.id).map(|store| store.state) {
+            Some(StoreState::Retiring) => StoreState::Retiring,
+            _ => StoreState::Active,
+        };
+        self.stores.retain(|store| store.id != entry.id);
+        self.stores.push(StoreEntry { state, ..entry.clone() });
+        self.forget_gone_stores();
+        self.stores_changed();
+        true
+    }
+
+    fn forget_gone_stores(&mut self) {
+        let gone = |store: &StoreEntry| matches!(store.state, StoreState::Lost | StoreState::Retired);
+        while self.stores.iter().filter(|store| gone(store)).count() > MOST_GONE_STORES {
+            let oldest = self.stores.iter().position(gone).expect("more than none are gone");
+            self.stores.remove(oldest);
+        }
+    }
+
+    fn stores_changed(&mut self) {
+        self.revision += 1;
+        self.store_epoch += 1;
+    }
+
+    /// Begins to empty the store on a machine; `least` stores have to remain.
+    pub fn retire(&mut self, node: &str, least: usize) -> RetireOutcome {
+        let under_way =
+            |store: &StoreEntry| matches!(store.state, StoreState::Retiring | StoreState::Retired);
+        let Some(newest) = self.stores.iter().rposition(|store| store.id.node == node) else {
+            return RetireOutcome::Unknown;
+        };
+        if under_way(&self.stores[newest]) {
+            return RetireOutcome::Begun;
+        }
+        if self.stores[newest].state == StoreState::Lost {
+            return RetireOutcome::Unknown;
+        }
+        if self.active_stores().count() <= least {
+            return RetireOutcome::TooFew;
+        }
+        self.stores[newest].state = StoreState::Retiring;
+        self.stores_changed();
+        RetireOutcome::Begun
+    }
+
+    /// Takes note that a retiring store is empty. Gives whether anything changed.
+    pub fn retired(&mut self, id: &StoreId) -> bool {
+        let Some(store) = self.stores.iter_mut().find(|store| store.id == *id) else {
+            return false;
+        };
+        if store.state != StoreState::Retiring {
+            return false;
+        }
+        store.state = StoreState::Retired;
+        self.stores_changed();
+        true
+    }
+
+    /// The state of the newest store on a machine.
+    pub fn state_of_node(&self, node: &str) -> Option<StoreState> {
+        self.stores.iter().rev().find(|store| store.id.node == node).map(|store| store.state)
+    }
+}
--- /dev/null
+++ b/tier/protocol/src/lib.rs
@@ -0,0 +1,18 @@
+//! What the programs of the serving tier say to each other and to the outside: the settings of a process, the
+//! operator's configuration, and the messages between agents, control members, stores and proxies.
+//!
+//! Everything here is plain data with its checks; nothing decides and nothing does I/O.
+#![warn(missing_docs)]
+
+pub mod configuration;
+pub mod directory;
+pub mod headers;
+pub mod instance;
+pub mod messages;
+pub mod settings;
+pub mod turns;
+
+pub use configuration::{Configuration, ConfigurationFault, Route, RouteType, Service};
+pub use directory::{Digest, Directory, StoreEntry, StoreId, StoreState, TakenConfiguration};
+pub use instance::{Instance, InstanceState};
+pub use settings::{Settings, SettingsFault};
--- /dev/null
+++ b/tier/protocol/src/messages.rs
@@ -0,0 +1,133 @@
+//! Calls between the tier's processes. Each call is one request and one reply.
+
+use crate::directory::{Directory, StoreEntry, StoreId};
+use crate::instance::Instance;
+use crate::turns::{Reservation, TurnId, TurnRecord};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
+
+/// What a follower has already.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FollowRequest {
+    /// Revision of its directory.
+    pub directory_revision: u64,
+    /// Version of its configuration, whose bytes are left out where it is still current.
+    pub configuration_version: u64,
+    /// The source that `instances_revision` counts at.
+    pub source: u64,
+    /// How far it has that source's instances.
+    pub instances_revision: u64,
+    /// How long the call may be held, in milliseconds.
+    pub hold_ms: u64,
+}
+
+/// What is new to a follower.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FollowReply {
+    /// The directory, where it is newer; without the configuration's bytes where the follower has them.
+    pub directory: Option<Directory>,
+    /// Control members, where the directory is told.
+    pub members: Vec<SocketAddrV4>,
+    /// The source that answers.
+    pub source: u64,
+    /// How far this reply goes.
+    pub instances_revision: u64,
+    /// Instances that changed.
+    pub instances: Vec<Instance>,
+}
+
+/// Calls to a control member, but for those of the register.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ControlCall {
+    /// Tells what is new, or holds the call until something is.
+    Follow(FollowRequest),
+    /// A store is there.
+    AnnounceStore(StoreEntry),
+    /// A retiring store has handed everything on.
+    StoreEmptied(StoreId),
+}
+
+/// Replies to [`ControlCall`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ControlReply {
+    /// What is new.
+    News(Box<FollowReply>),
+    /// Done.
+    Done,
+    /// The member is out of touch with a majority and can't say.
+    OutOfTouch,
+}
+
+/// Calls to a store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StoreCall {
+    /// Is it there?
+    Ping,
+    /// Keep these turns.
+    PutTurns {
+        /// The caller's epoch of the stores.
+        epoch: u64,
+        /// The turns.
+        turns: Vec<TurnRecord>,
+    },
+    /// The turn of this name and those before it, as far as they are here.
+    FetchChain {
+        /// The newest turn wanted.
+        id: TurnId,
+    },
+    /// Which of these turns are not here?
+    Missing {
+        /// Their names.
+        ids: Vec<TurnId>,
+    },
+    /// Holds tokens of a program's budget, and tells what its other attempts hold.
+    Reserve {
+        /// The caller's epoch of the stores.
+        epoch: u64,
+        /// The program.
+        program: String,
+        /// What to hold; none to read only.
+        reservation: Option<Reservation>,
+    },
+    /// An attempt has ended.
+    Settle {
+        /// The program.
+        program: String,
+        /// What it used.
+        reservation: Reservation,
+    },
+    /// All budgets; the callee refuses older epochs from here on.
+    PullBudgets {
+        /// The caller's epoch of the stores.
+        epoch: u64,
+    },
+}
+
+/// Replies to [`StoreCall`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum StoreReply {
+    /// Done, and safe on disk where that was asked for.
+    Done,
+    /// Turns, newest first.
+    Chain(Vec<TurnRecord>),
+    /// The turn is not here. Certain means that this disk has lost nothing for as long as turns are kept.
+    NoTurn {
+        /// Whether it certainly was never here.
+        certain: bool,
+    },
+    /// These are not here.
+    MissingTurns(Vec<TurnId>),
+    /// What the program's attempts hold.
+    Reservations(Vec<Reservation>),
+    /// All programs with what their attempts hold.
+    Budgets(Vec<(String, Vec<Reservation>)>),
+    /// The caller's epoch of the stores is not this store's; a newer directory is needed on one side.
+    OtherEpoch {
+        /// The store's epoch.
+        epoch: u64,
+    },
+    /// No room on the disk.
+    Full,
+    /// Not ready for this yet.
+    NotReady,
+}
--- /dev/null
+++ b/tier/proxy/src/front.rs
@@ -0,0 +1,92 @@
+//! Clients' connections, and the end after SIGTERM.
+
+use crate::answer::{Aborted, Answer};
+use crate::proxy::Proxy;
+use crate::request;
+use http::{HeaderValue, Request, header};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, info};
+use pointcross_tier_runtime::socket;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// A pause after accepting failed, as where descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Descriptors that are not for clients: servers, stores, files.
+const OTHER_DESCRIPTORS: usize = 1200;
+/// hyper wants room for this much of a head at the least.
+const LEAST_HEAD: usize = 8192;
+/// The platform notices within two checks of a second each that a proxy is not ready.
+const NOTICED_AFTER: Duration = Duration::from_millis(2600);
+/// What was taken is finished so long before the kill.
+const KILL_MARGIN: Duration = Duration::from_millis(400);
+/// The last answers' bytes have this long to leave.
+const LAST_BYTES: Duration = Duration::from_millis(60);
+/// The time between two looks at whether all is finished.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Serves clients for ever.
+pub async fn serve(proxy: Rc<Proxy>, listener: TcpListener) {
+    let max_fds = proxy.settings.limits.max_fds;
+    let most = max_fds.saturating_sub(OTHER_DESCRIPTORS).max(max_fds / 2);
+    let open = Rc::new(Cell::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if open.get() >= most || socket::prepare(&stream).is_err() {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (proxy, open) = (proxy.clone(), open.clone());
+        spawn_local(async move {
+            serve_connection(proxy, stream).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn serve_connection(proxy: Rc<Proxy>, stream: TcpStream) {
+    let limits = proxy.table.borrow().as_ref().map(|table| table.limits().clone()).unwrap_or_default();
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms)))
+        .max_buf_size(limits.max_header_bytes.max(LEAST_HEAD));
+    let service = service_fn(move |request| answer(proxy.clone(), request));
+    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+        debug!("a client's connection: {error}");
+    }
+}
+
+async fn answer(proxy: Rc<Proxy>, request: Request<Incoming>) -> Result<Answer, Aborted> {
+    let mut answer = request::serve(&proxy, request).await?;
+    if proxy.draining.get() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(answer)
+}
+
+/// After SIGTERM: not ready, but serving on until the platform has noticed and all that was taken is finished.
+pub async fn drain(proxy: &Proxy, grace: Duration) {
+    info!("draining");
+    proxy.draining.set(true);
+    let begun = Instant::now();
+    loop {
+        tokio::time::sleep(LOOK_EVERY).await;
+        let elapsed = begun.elapsed();
+        let idle = proxy.open_requests.get() == 0;
+        if elapsed > grace.saturating_sub(KILL_MARGIN) || (idle && elapsed > NOTICED_AFTER) {
+            info!("ending with {} requests open", proxy.open_requests.get());
+            tokio::time::sleep(LAST_BYTES).await;
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/tier/proxy/src/proxy.rs
@@ -0,0 +1,140 @@
+//! What a proxy holds.
+
+use crate::queue::Queues;
+use crate::stores::Stores;
+use crate::turns::ChainCache;
+use crate::upstream::Pool;
+use log::{info, warn};
+use pointcross_tier_protocol::{Configuration, Settings};
+use pointcross_tier_routing::{RouteTable, Servers};
+use pointcross_tier_runtime::follow::SharedView;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Part of the process's memory that cached chains may take.
+const CACHE_PART: usize = 8;
+/// The time between two looks at what may be closed or forgotten.
+const TIDY_EVERY: Duration = Duration::from_millis(500);
+
+/// A proxy.
+pub struct Proxy {
+    /// Its settings.
+    pub settings: Settings,
+    /// The directory and the instances, as its agent tells.
+    pub shared: Rc<SharedView>,
+    /// The routes in force; none before the first configuration.
+    pub table: RefCell<Option<Rc<RouteTable>>>,
+    /// The servers.
+    pub servers: RefCell<Servers>,
+    /// Connections to servers.
+    pub pool: Pool,
+    /// Requests that wait for room at a server.
+    pub queues: Queues,
+    /// The stores.
+    pub stores: Stores,
+    /// Turns answered or read lately.
+    pub chains: RefCell<ChainCache>,
+    /// Set from SIGTERM on.
+    pub draining: Cell<bool>,
+    /// Requests that are open.
+    pub open_requests: Cell<usize>,
+    started: Instant,
+}
+
+impl Proxy {
+    /// A proxy that knows nothing yet.
+    pub fn new(settings: Settings) -> Rc<Self> {
+        let shared = SharedView::new();
+        let cache_bytes = settings.limits.memory_mb as usize * 1024 * 1024 / CACHE_PART;
+        Rc::new(Proxy {
+            shared: shared.clone(),
+            table: RefCell::default(),
+            servers: RefCell::new(Servers::new(&settings.zone)),
+            pool: Pool::default(),
+            queues: Queues::default(),
+            stores: Stores::new(shared, &settings),
+            chains: RefCell::new(ChainCache::new(cache_bytes)),
+            draining: Cell::new(false),
+            open_requests: Cell::new(0),
+            started: Instant::now(),
+            settings,
+        })
+    }
+
+    /// Milliseconds since the start.
+    pub fn now_ms(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// Whether new connections are welcome.
+    pub fn is_ready(&self) -> bool {
+        let knows_servers = self.shared.read(|view| view.instances().all().next().is_some());
+        !self.draining.get() && self.table.borrow().is_some() && knows_servers
+    }
+}
+
+/// Counts a request for as long as it is open.
+pub struct OpenRequest(Rc<Proxy>);
+
+impl OpenRequest {
+    /// Counts a request from now on.
+    pub fn new(proxy: &Rc<Proxy>) -> Self {
+        proxy.open_requests.set(proxy.open_requests.get() + 1);
+        OpenRequest(proxy.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+/// Puts what the agent tells in force.
+pub async fn follow_view(proxy: Rc<Proxy>) {
+    let mut changes = proxy.shared.changes();
+    let mut revision = 0;
+    loop {
+        changes.borrow_and_update();
+        let (directory, changed, newest) = proxy.shared.read(|view| {
+            let instances = view.instances();
+            (view.directory().clone(), instances.changed_since(revision), instances.revision())
+        });
+        revision = newest;
+        for instance in &changed {
+            proxy.servers.borrow_mut().update(instance);
+        }
+        let in_force = proxy.table.borrow().as_ref().map_or(0, |table| table.version());
+        if directory.configuration_version > in_force {
+            adopt(&proxy, &directory.configuration);
+        }
+        if !changed.is_empty() {
+            proxy.queues.wake();
+        }
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn adopt(proxy: &Proxy, body: &[u8]) {
+    match Configuration::parse(body) {
+        Ok(configuration) => {
+            let table = RouteTable::new(&configuration);
+            info!("configuration {} is in force", table.version());
+            *proxy.table.borrow_mut() = Some(Rc::new(table));
+        }
+        Err(fault) => warn!("a configuration in force can't be read: {fault}"),
+    }
+}
+
+/// Closes connections that have rested for long, and forgets turns whose time is over.
+pub async fn tidy(proxy: Rc<Proxy>) {
+    loop {
+        tokio::time::sleep(TIDY_EVERY).await;
+        proxy.pool.close_rested();
+        proxy.chains.borrow_mut().forget_ended();
+    }
+}
--- /dev/null
+++ b/tier/proxy/src/stores.rs
@@ -0,0 +1,86 @@
+//! Calls to the stores.
+
+use log::debug;
+use pointcross_tier_protocol::messages::{StoreCall, StoreReply};
+use pointcross_tier_protocol::{Directory, Settings, StoreEntry};
+use pointcross_tier_runtime::follow::SharedView;
+use pointcross_tier_runtime::rpc::Peer;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A store that did not answer is asked last for so long.
+const ASKED_LAST_FOR: Duration = Duration::from_millis(1500);
+/// Connections that are kept.
+const MOST_PEERS: usize = 256;
+
+/// The stores, as this proxy reaches them.
+pub struct Stores {
+    shared: Rc<SharedView>,
+    /// This proxy's zone.
+    pub zone: String,
+    /// Copies that a turn needs.
+    pub copies: usize,
+    /// Stores that share a program's budget.
+    pub budget_stores: usize,
+    peers: RefCell<HashMap<SocketAddrV4, Rc<Peer>>>,
+    asked_last_until: RefCell<HashMap<SocketAddrV4, Instant>>,
+}
+
+impl Stores {
+    /// The stores that the directory lists.
+    pub fn new(shared: Rc<SharedView>, settings: &Settings) -> Self {
+        Stores {
+            shared,
+            zone: settings.zone.clone(),
+            copies: settings.fault_tolerance.copies(),
+            budget_stores: settings.fault_tolerance.members(),
+            peers: RefCell::default(),
+            asked_last_until: RefCell::default(),
+        }
+    }
+
+    /// The directory.
+    pub fn directory(&self) -> Arc<Directory> {
+        self.shared.read(|view| view.directory().clone())
+    }
+
+    fn peer(&self, address: SocketAddrV4) -> Rc<Peer> {
+        let mut peers = self.peers.borrow_mut();
+        if peers.len() > MOST_PEERS {
+            peers.clear();
+        }
+        peers.entry(address).or_insert_with(|| Peer::new(address)).clone()
+    }
+
+    /// Calls a store; `None` where no answer came in time.
+    pub async fn call(
+        &self,
+        address: SocketAddrV4,
+        call: &StoreCall,
+        within: Duration,
+    ) -> Option<StoreReply> {
+        match self.peer(address).call(call, within).await {
+            Ok(reply) => {
+                self.asked_last_until.borrow_mut().remove(&address);
+                Some(reply)
+            }
+            Err(fault) => {
+                debug!("store: {fault}");
+                self.asked_last_until.borrow_mut().insert(address, Instant::now() + ASKED_LAST_FOR);
+                None
+            }
+        }
+    }
+
+    /// Moves stores that did not answer lately to the end.
+    pub fn answering_first(&self, stores: &mut [StoreEntry]) {
+        let asked_last = self.asked_last_until.borrow();
+        let now = Instant::now();
+        stores.sort_by_key(|store| asked_last.get(&store.address).is_some_and(|until| *until > now));
+    }
+}
--- /dev/null
+++ b/tier/proxy/src/upstream/pool.rs
@@ -0,0 +1,57 @@
+//! Kept connections, by the instance that they lead to.
+
+use super::connection::{AttemptFault, Connection};
+use pointcross_tier_protocol::Instance;
+use pointcross_tier_runtime::socket;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Connections kept to one instance.
+const MOST_KEPT: usize = 6;
+
+/// Kept connections.
+#[derive(Default)]
+pub struct Pool {
+    kept: RefCell<HashMap<String, Vec<Connection>>>,
+}
+
+impl Pool {
+    /// A sound kept connection to this instance.
+    pub fn take(&self, id: &str) -> Option<Connection> {
+        let mut kept = self.kept.borrow_mut();
+        let connections = kept.get_mut(id)?;
+        while let Some(connection) = connections.pop() {
+            if connection.is_sound() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// A new connection to this instance.
+    pub async fn connect(&self, instance: &Instance, within: Duration) -> Result<Connection, AttemptFault> {
+        let stream = socket::connect(instance.address, within).await;
+        stream.map(Connection::new).map_err(|_| AttemptFault::NoConnection)
+    }
+
+    /// Keeps a connection whose answer is whole.
+    pub fn keep(&self, id: &str, mut connection: Connection) {
+        if !connection.may_be_kept() {
+            return;
+        }
+        let mut kept = self.kept.borrow_mut();
+        let connections = kept.entry(id.to_owned()).or_default();
+        if connections.len() < MOST_KEPT {
+            connections.push(connection);
+        }
+    }
+
+    /// Closes connections that have rested too long, or on which something came unasked.
+    pub fn close_rested(&self) {
+        self.kept.borrow_mut().retain(|_, connections| {
+            connections.retain(Connection::is_sound);
+            !connections.is_empty()
+        });
+    }
+}
--- /dev/null
+++ b/tier/routing/src/lib.rs
@@ -0,0 +1,14 @@
+//! Where a request goes: the route table, the servers of each service with what was learned of them, admission and
+//! placement. Nothing here does I/O or reads a clock.
+#![warn(missing_docs)]
+
+mod admission;
+mod prefix;
+mod route_table;
+mod server;
+mod servers;
+
+pub use prefix::{PromptParts, parse_prefix};
+pub use route_table::{RouteTable, RoutedRequest};
+pub use server::{AttemptEnd, LoadReport};
+pub use servers::{Choice, Demand, Servers};
--- /dev/null
+++ b/tier/routing/src/prefix.rs
@@ -0,0 +1,38 @@
+//! The parts of a prompt, as a request states them.
+
+use smallvec::SmallVec;
+
+/// Parts in order, each with its tokens. A part's key includes all parts before it, since a server's cache keeps a
+/// part only together with those.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptParts {
+    /// Key and tokens of each part.
+    pub parts: SmallVec<[(u64, u64); 8]>,
+}
+
+impl PromptParts {
+    /// Tokens of all parts.
+    pub fn tokens(&self) -> u64 {
+        self.parts.iter().map(|(_, tokens)| tokens).sum()
+    }
+}
+
+/// Reads `ID:TOKENS,ID:TOKENS`, the ids in hex. What can't be read ends the list.
+pub fn parse_prefix(header: &str) -> PromptParts {
+    let mut parts = SmallVec::new();
+    let mut key: u64 = 0x9e37_79b9_7f4a_7c15;
+    for part in header.split(',') {
+        let Some((id, tokens)) = part.trim().split_once(':') else {
+            break;
+        };
+        let Ok(tokens) = tokens.parse() else {
+            break;
+        };
+        for byte in id.bytes() {
+            key = (key ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+        key = (key ^ (key >> 31)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        parts.push((key, tokens));
+    }
+    PromptParts { parts }
+}
--- /dev/null
+++ b/tier/runtime/src/follow.rs
@@ -0,0 +1,149 @@
+//! Following the control plane, or the agent that does: long polls with what is known already.
+
+use crate::random;
+use crate::rpc::Peer;
+use log::{debug, info};
+use pointcross_tier_instances::{FeedPosition, View};
+use pointcross_tier_protocol::messages::{ControlCall, ControlReply};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// How long a call is held where nothing is new. A member that falls silent is noticed this and
+/// [`REPLY_SLACK`] later, well within the bound of two seconds for a configuration, since another member is
+/// followed at the same time.
+const HOLD: Duration = Duration::from_millis(700);
+/// What a held call's reply may take beyond the hold.
+const REPLY_SLACK: Duration = Duration::from_millis(400);
+/// The pause after a call that failed.
+const PAUSE_MS: u64 = 60;
+/// A call that is answered sooner than this without news is not repeated at once.
+const LEAST_GAP: Duration = Duration::from_millis(20);
+
+/// A view that followers and tasks share, with a signal for each change.
+pub struct SharedView {
+    view: RefCell<View>,
+    changes: watch::Sender<u64>,
+}
+
+impl SharedView {
+    /// An empty view of a new life of this process.
+    pub fn new() -> Rc<Self> {
+        let view = RefCell::new(View::new(random::unique()));
+        Rc::new(SharedView { view, changes: watch::channel(0).0 })
+    }
+
+    /// Reads the view.
+    pub fn read<T>(&self, read: impl FnOnce(&View) -> T) -> T {
+        read(&self.view.borrow())
+    }
+
+    /// Changes the view; `change` says whether anything is new, and if so all who wait are woken.
+    pub fn change(&self, change: impl FnOnce(&mut View) -> bool) -> bool {
+        let changed = change(&mut self.view.borrow_mut());
+        if changed {
+            self.changes.send_modify(|count| *count += 1);
+        }
+        changed
+    }
+
+    /// A signal for each change.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Answers a follower: at once where something is new to it, else when something is or the hold is over.
+    pub async fn answer(&self, request: &pointcross_tier_protocol::messages::FollowRequest) -> ControlReply {
+        let mut changes = self.changes();
+        let until = tokio::time::Instant::now() + Duration::from_millis(request.hold_ms);
+        loop {
+            changes.borrow_and_update();
+            if let Some(news) = self.read(|view| view.news(request)) {
+                return ControlReply::News(Box::new(news));
+            }
+            if tokio::time::timeout_at(until, changes.changed()).await.is_err() {
+                return ControlReply::Done;
+            }
+        }
+    }
+}
+
+/// Follows one process for ever; `choose` names it anew after each failure.
+async fn follow_one(shared: Rc<SharedView>, mut choose: impl FnMut() -> Option<SocketAddrV4>) {
+    let mut peer: Option<Rc<Peer>> = None;
+    let mut position = FeedPosition::default();
+    loop {
+        let Some(current) = peer.clone().or_else(|| choose().map(Peer::new)) else {
+            tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            continue;
+        };
+        let request = shared.read(|view| view.request(position, HOLD.as_millis() as u64));
+        let begun = tokio::time::Instant::now();
+        let reply = current.call(&ControlCall::Follow(request), HOLD + REPLY_SLACK).await;
+        match reply {
+            Ok(ControlReply::News(news)) => {
+                position = FeedPosition { source: news.source, revision: news.instances_revision };
+                shared.change(|view| view.take_in(*news));
+                peer = Some(current);
+            }
+            Ok(ControlReply::Done) => {
+                peer = Some(current);
+                if begun.elapsed() < LEAST_GAP {
+                    tokio::time::sleep(LEAST_GAP).await;
+                }
+            }
+            Ok(ControlReply::OutOfTouch) => {
+                debug!("{} is out of touch with the other members", current.address());
+                peer = None;
+                pause().await;
+            }
+            Err(fault) => {
+                info!("following: {fault}");
+                peer = None;
+                pause().await;
+            }
+        }
+    }
+}
+
+async fn pause() {
+    tokio::time::sleep(Duration::from_millis(PAUSE_MS / 2 + random::below(PAUSE_MS))).await;
+}
+
+/// Follows the control plane for ever, two members at a time so that one may fall silent unnoticed.
+pub async fn follow_members(shared: Rc<SharedView>, seeds: Vec<SocketAddrV4>) {
+    let followed: Rc<RefCell<BTreeMap<usize, SocketAddrV4>>> = Rc::default();
+    let chooser = |index: usize| {
+        let (shared, seeds, followed) = (shared.clone(), seeds.clone(), followed.clone());
+        move || {
+            let mut candidates = shared.read(|view| view.members().to_vec());
+            if candidates.is_empty() || random::below(8) == 0 {
+                candidates.extend(&seeds);
+            }
+            candidates.sort();
+            candidates.dedup();
+            let other = followed.borrow().iter().find(|(at, _)| **at != index).map(|(_, address)| *address);
+            let last = followed.borrow().get(&index).copied();
+            if candidates.len() > 1 {
+                candidates.retain(|candidate| Some(*candidate) != other);
+            }
+            if candidates.len() > 1 {
+                candidates.retain(|candidate| Some(*candidate) != last);
+            }
+            let chosen = candidates[random::below(candidates.len() as u64) as usize];
+            followed.borrow_mut().insert(index, chosen);
+            Some(chosen)
+        }
+    };
+    let first = follow_one(shared.clone(), chooser(0));
+    let second = follow_one(shared.clone(), chooser(1));
+    tokio::join!(first, second);
+}
+
+/// Follows one process at a fixed address for ever.
+pub async fn follow_feed(shared: Rc<SharedView>, address: SocketAddrV4) {
+    follow_one(shared, move || Some(address)).await;
+}
--- /dev/null
+++ b/tier/runtime/src/random.rs
@@ -0,0 +1,38 @@
+//! Random numbers, for spreading calls and for ids that no other process draws.
+
+use std::cell::Cell;
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+
+thread_local! {
+    static STATE: Cell<u64> = Cell::new(RandomState::new().build_hasher().finish() | 1);
+}
+
+/// A random number; never 0.
+pub fn number() -> u64 {
+    STATE.with(|state| {
+        let mut value = state.get();
+        value ^= value << 13;
+        value ^= value >> 7;
+        value ^= value << 17;
+        state.set(value);
+        value.wrapping_mul(0x2545_f491_4f6c_dd1d) | 1
+    })
+}
+
+/// A random number below `bound`, which is above 0.
+pub fn below(bound: u64) -> u64 {
+    (number() >> 1) % bound
+}
+
+/// A number of disk or process that others can't draw by chance. The system's own source is used, since the
+/// hasher's keys may be alike in processes that start alike.
+pub fn unique() -> u64 {
+    use std::io::Read;
+    let mut bytes = [0; 8];
+    let read = std::fs::File::open("/dev/urandom").and_then(|mut file| file.read_exact(&mut bytes));
+    match read {
+        Ok(()) => u64::from_le_bytes(bytes) | 1,
+        Err(_) => number(),
+    }
+}
--- /dev/null
+++ b/tier/sessions/src/turn_table.rs
@@ -0,0 +1,162 @@
+//! The turns of one store.
+
+use pointcross_tier_protocol::StoreId;
+use pointcross_tier_protocol::turns::{TurnId, TurnRecord};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+/// A turn, and until when it is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptTurn {
+    /// The turn. Its `keep_ms` is what it was when it came.
+    pub record: TurnRecord,
+    /// The end of its time, on this store's clock.
+    pub until: Duration,
+    /// Where it stands on the disk.
+    pub generation: u64,
+}
+
+/// Turns by name, until their time is over.
+#[derive(Clone, Debug, Default)]
+pub struct TurnTable {
+    turns: HashMap<TurnId, KeptTurn>,
+    by_end: BTreeSet<(Duration, TurnId)>,
+    /// Turns on the disk, by the generation of the file.
+    by_generation: BTreeMap<u64, usize>,
+    bytes: usize,
+}
+
+/// What a turn takes beside its text: names, map entries.
+const OVERHEAD: usize = 400;
+
+impl TurnTable {
+    /// Keeps a turn, and the turns before it for as long. A later copy of the same turn may extend its time and its
+    /// homes, and takes its place on disk.
+    pub fn insert(&mut self, now: Duration, record: TurnRecord, generation: u64) {
+        let mut until = now + Duration::from_millis(record.keep_ms);
+        let mut record = record;
+        if let Some(old) = self.remove(&record.id) {
+            until = until.max(old.until);
+            record.homes.extend(old.record.homes);
+            record.homes.sort();
+            record.homes.dedup();
+        }
+        let mut previous = record.previous.clone();
+        while let Some(before) = previous {
+            previous = self.keep_until(&before, until);
+        }
+        self.bytes += record.text.len() + OVERHEAD;
+        *self.by_generation.entry(generation).or_default() += 1;
+        self.by_end.insert((until, record.id.clone()));
+        self.turns.insert(record.id.clone(), KeptTurn { record, until, generation });
+    }
+
+    /// Extends a turn's time. Gives the turn before it where that may have to be extended too.
+    fn keep_until(&mut self, id: &str, until: Duration) -> Option<TurnId> {
+        let kept = self.turns.get_mut(id)?;
+        if kept.until >= until {
+            return None;
+        }
+        self.by_end.remove(&(kept.until, id.to_owned()));
+        kept.until = until;
+        self.by_end.insert((until, id.to_owned()));
+        kept.record.previous.clone()
+    }
+
+    fn remove(&mut self, id: &str) -> Option<KeptTurn> {
+        let old = self.turns.remove(id)?;
+        self.bytes -= old.record.text.len() + OVERHEAD;
+        self.by_end.remove(&(old.until, id.to_owned()));
+        if let Some(count) = self.by_generation.get_mut(&old.generation) {
+            *count -= 1;
+            if *count == 0 {
+                self.by_generation.remove(&old.generation);
+            }
+        }
+        Some(old)
+    }
+
+    /// Forgets the turns whose time is over.
+    pub fn forget_ended(&mut self, now: Duration) {
+        while let Some((until, id)) = self.by_end.first().cloned() {
+            if until > now {
+                return;
+            }
+            self.remove(&id);
+        }
+    }
+
+    /// This turn.
+    pub fn get(&self, id: &str) -> Option<&KeptTurn> {
+        self.turns.get(id)
+    }
+
+    /// The turn and those before it, newest first, as far as they are here.
+    pub fn chain(&self, now: Duration, id: &str) -> Vec<TurnRecord> {
+        let mut chain = Vec::new();
+        let mut next = Some(id.to_owned());
+        while let Some(kept) = next.and_then(|id| self.turns.get(&id)) {
+            next = kept.record.previous.clone();
+            chain.push(with_time_left(kept, now));
+        }
+        chain
+    }
+
+    /// Which of these aren't here.
+    pub fn missing(&self, ids: Vec<TurnId>) -> Vec<TurnId> {
+        ids.into_iter().filter(|id| !self.turns.contains_key(id)).collect()
+    }
+
+    /// The turns that stand in this generation.
+    pub fn in_generation(&self, now: Duration, generation: u64) -> Vec<TurnRecord> {
+        if !self.by_generation.contains_key(&generation) {
+            return Vec::new();
+        }
+        let there = self.turns.values().filter(|kept| kept.generation == generation);
+        there.map(|kept| with_time_left(kept, now)).collect()
+    }
+
+    /// All turns, with how long each is still kept.
+    pub fn all(&self, now: Duration) -> impl Iterator<Item = TurnRecord> {
+        self.turns.values().map(move |kept| with_time_left(kept, now))
+    }
+
+    /// Replaces the stores that a turn counts as kept at.
+    pub fn set_homes(&mut self, id: &str, homes: Vec<StoreId>) {
+        if let Some(kept) = self.turns.get_mut(id) {
+            kept.record.homes = homes;
+        }
+    }
+
+    /// Turns whose homes fulfil a condition: their names, keys of placement and homes.
+    pub fn with_homes(&self, holds: impl Fn(&[StoreId]) -> bool) -> Vec<TurnId> {
+        let affected = self.turns.values().filter(|kept| holds(&kept.record.homes));
+        affected.map(|kept| kept.record.id.clone()).collect()
+    }
+
+    /// Copies of these turns, with how long each is still kept.
+    pub fn copies(&self, now: Duration, ids: &[TurnId]) -> Vec<TurnRecord> {
+        let kept = ids.iter().filter_map(|id| self.turns.get(id));
+        kept.map(|kept| with_time_left(kept, now)).collect()
+    }
+
+    /// Turns kept.
+    pub fn len(&self) -> usize {
+        self.turns.len()
+    }
+
+    /// Whether none is kept.
+    pub fn is_empty(&self) -> bool {
+        self.turns.is_empty()
+    }
+
+    /// Bytes of memory that they take, about.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+fn with_time_left(kept: &KeptTurn, now: Duration) -> TurnRecord {
+    let keep_ms = kept.until.saturating_sub(now).as_millis() as u64;
+    TurnRecord { keep_ms, ..kept.record.clone() }
+}
--- /dev/null
+++ b/tier/storage/src/ring.rs
@@ -0,0 +1,242 @@
+//! The files of a ring.
+
+use crate::format::{self, FILE_HEADER_LENGTH, RECORD_HEADER_LENGTH};
+use bytes::Bytes;
+use snafu::{ResultExt, Snafu};
+use std::fs::{File, OpenOptions};
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+/// How large a ring is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RingLayout {
+    /// Files; two or more.
+    pub files: usize,
+    /// Bytes of each file.
+    pub file_length: u64,
+}
+
+/// Where a record stands: a file, and the generation in which that file was used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Location {
+    /// The file's generation; every use of a file has one of its own.
+    pub generation: u64,
+}
+
+/// Why a ring can't be used.
+#[derive(Debug, Snafu)]
+pub enum RingFault {
+    /// The system refused.
+    #[snafu(display("{}: {source}", path.display()))]
+    Io {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A record is longer than a file.
+    #[snafu(display("a record of {length} bytes does not fit in a file of {file_length}"))]
+    TooLong {
+        /// The record's length.
+        length: usize,
+        /// A file's length.
+        file_length: u64,
+    },
+}
+
+/// A record that outlasted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RecoveredRecord {
+    /// Where it stands.
+    pub location: Location,
+    /// What was appended.
+    pub body: Bytes,
+}
+
+/// What a folder holds at the start.
+#[derive(Debug)]
+pub struct Recovered {
+    /// The ring, ready to append.
+    pub ring: Ring,
+    /// All whole records, oldest first.
+    pub records: Vec<RecoveredRecord>,
+    /// Whether the folder held no file yet.
+    pub was_empty: bool,
+}
+
+#[derive(Debug)]
+struct RingFile {
+    path: PathBuf,
+    file: File,
+    /// 0 where it was never used.
+    generation: u64,
+}
+
+/// A ring of files in a folder.
+#[derive(Debug)]
+pub struct Ring {
+    layout: RingLayout,
+    files: Vec<RingFile>,
+    current: usize,
+    position: u64,
+    checksum: u32,
+    buffer: Vec<u8>,
+}
+
+impl Ring {
+    /// Opens the ring in this folder, or makes one; the folder is made where it is missing.
+    pub fn open(folder: &Path, layout: RingLayout) -> Result<Recovered, RingFault> {
+        assert!(layout.files >= 2, "a ring has two files or more");
+        std::fs::create_dir_all(folder).context(IoSnafu { path: folder })?;
+        let mut was_empty = true;
+        let mut files = Vec::with_capacity(layout.files);
+        let mut found = Vec::new();
+        for index in 0..layout.files {
+            let path = folder.join(format!("ring-{index:03}"));
+            was_empty &= !path.exists();
+            let (file, contents) = open_file(&path, layout.file_length)?;
+            let generation = contents.generation;
+            files.push(RingFile { path, file, generation });
+            found.push(contents);
+        }
+        if was_empty {
+            sync_folder(folder)?;
+        }
+        let current =
+            (0..files.len()).max_by_key(|&index| files[index].generation).expect("two files or more");
+        let mut order: Vec<usize> = (0..files.len()).collect();
+        order.sort_by_key(|&index| files[index].generation);
+        let mut records = Vec::new();
+        for index in order {
+            let location = Location { generation: files[index].generation };
+            let bodies = std::mem::take(&mut found[index].bodies);
+            records.extend(bodies.into_iter().map(|body| RecoveredRecord { location, body }));
+        }
+        let position = found[current].end;
+        let checksum = found[current].checksum;
+        let mut ring = Ring { layout, files, current, position, checksum, buffer: Vec::new() };
+        if ring.files[current].generation == 0 {
+            ring.begin_file(current, 1)?;
+            ring.sync()?;
+        }
+        Ok(Recovered { ring, records, was_empty })
+    }
+
+    /// The generation of the file that is being written.
+    pub fn current(&self) -> Location {
+        Location { generation: self.files[self.current].generation }
+    }
+
+    /// The generation whose records are overwritten when the ring moves on; `None` while an unused file is left.
+    pub fn next_overwritten(&self) -> Option<Location> {
+        let next = &self.files[(self.current + 1) % self.files.len()];
+        (next.generation > 0).then_some(Location { generation: next.generation })
+    }
+
+    /// Whether a record of this length goes into the current file.
+    pub fn fits(&self, length: usize) -> bool {
+        let end = self.position + self.buffer.len() as u64 + (RECORD_HEADER_LENGTH + length) as u64;
+        end <= self.layout.file_length
+    }
+
+    /// Bytes that a whole, empty file has for records and their headers.
+    pub fn file_room(&self) -> u64 {
+        self.layout.file_length - FILE_HEADER_LENGTH as u64
+    }
+
+    /// Moves on to the next file. Its records are lost: the caller has seen to it that none is needed.
+    pub fn advance(&mut self) -> Result<(), RingFault> {
+        self.sync()?;
+        let generation = self.files[self.current].generation + 1;
+        let next = (self.current + 1) % self.files.len();
+        self.begin_file(next, generation)
+    }
+
+    fn begin_file(&mut self, index: usize, generation: u64) -> Result<(), RingFault> {
+        self.current = index;
+        self.files[index].generation = generation;
+        self.position = 0;
+        self.checksum = format::file_checksum(generation);
+        self.buffer.extend_from_slice(&format::file_header(generation));
+        Ok(())
+    }
+
+    /// Adds a record to what the next sync writes. The caller has asked [`Ring::fits`] and moved on where not.
+    pub fn append(&mut self, body: &[u8]) -> Result<Location, RingFault> {
+        if !self.fits(body.len()) {
+            return TooLongSnafu { length: body.len(), file_length: self.layout.file_length }.fail();
+        }
+        self.checksum = format::write_record(self.checksum, body, &mut self.buffer);
+        Ok(self.current())
+    }
+
+    /// Writes what was appended and waits until it is safe.
+    pub fn sync(&mut self) -> Result<(), RingFault> {
+        if self.buffer.is_empty() {
+            return Ok(());
+        }
+        let RingFile { path, file, .. } = &mut self.files[self.current];
+        file.seek(SeekFrom::Start(self.position)).context(IoSnafu { path: &*path })?;
+        file.write_all(&self.buffer).context(IoSnafu { path: &*path })?;
+        file.sync_data().context(IoSnafu { path: &*path })?;
+        self.position += self.buffer.len() as u64;
+        self.buffer.clear();
+        Ok(())
+    }
+}
+
+struct Contents {
+    generation: u64,
+    bodies: Vec<Bytes>,
+    /// Where the next record goes.
+    end: u64,
+    checksum: u32,
+}
+
+/// Opens or makes one file, and reads its whole records.
+fn open_file(path: &Path, length: u64) -> Result<(File, Contents), RingFault> {
+    let options = || OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path);
+    let mut file = options().context(IoSnafu { path })?;
+    let present = file.metadata().context(IoSnafu { path })?.len();
+    if present != length {
+        file.set_len(length).context(IoSnafu { path })?;
+        file.sync_all().context(IoSnafu { path })?;
+    }
+    let mut header = [0; FILE_HEADER_LENGTH];
+    let empty = Contents { generation: 0, bodies: Vec::new(), end: 0, checksum: 0 };
+    if present < FILE_HEADER_LENGTH as u64 || file.read_exact(&mut header).is_err() {
+        return Ok((file, empty));
+    }
+    let Some(generation) = format::read_file_header(&header) else {
+        return Ok((file, empty));
+    };
+    let mut bytes = Vec::new();
+    file.read_to_end(&mut bytes).context(IoSnafu { path })?;
+    let contents = read_contents(generation, &bytes);
+    Ok((file, contents))
+}
+
+fn read_contents(generation: u64, bytes: &[u8]) -> Contents {
+    let mut rest = bytes;
+    let mut checksum = format::file_checksum(generation);
+    let mut bodies = Vec::new();
+    while let Some((body, next_checksum, behind)) = format::read_record(checksum, rest) {
+        bodies.push(Bytes::copy_from_slice(body));
+        checksum = next_checksum;
+        rest = behind;
+    }
+    let end = (FILE_HEADER_LENGTH + bytes.len() - rest.len()) as u64;
+    Contents { generation, bodies, end, checksum }
+}
+
+fn sync_folder(folder: &Path) -> Result<(), RingFault> {
+    let opened = File::open(folder).context(IoSnafu { path: folder })?;
+    opened.sync_all().context(IoSnafu { path: folder })?;
+    match folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        Some(parent) => File::open(parent)
+            .and_then(|parent| parent.sync_all())
+            .or_else(|_| Ok(()))
+            .context(IoSnafu { path: parent }),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/tier/store/src/lib.rs
@@ -0,0 +1,67 @@
+//! A store: keeps turns and budgets on its disk, hands on what others should have, and is emptied when retired.
+#![warn(missing_docs)]
+
+mod announce;
+mod budgets;
+mod calls;
+mod disk;
+mod repair;
+mod state;
+
+use log::info;
+use pointcross_tier_protocol::settings::{InternalPort, Settings, SettingsFault};
+use pointcross_tier_runtime::follow::follow_members;
+use pointcross_tier_runtime::{process, rpc, socket};
+use pointcross_tier_storage::RingFault;
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddrV4;
+use tokio::task::spawn_local;
+
+/// Why a store can't serve.
+#[derive(Debug, Snafu)]
+pub enum StoreFault {
+    /// A setting is missing.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// Which one.
+        source: SettingsFault,
+    },
+    /// The data folder can't be used.
+    #[snafu(display("{source}"))]
+    Storage {
+        /// File and reason.
+        source: RingFault,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("{address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddrV4,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// Signals can't be waited for.
+    #[snafu(display("signals: {source}"))]
+    Signals {
+        /// What the system says.
+        source: std::io::Error,
+    },
+}
+
+/// Serves until SIGTERM.
+pub async fn run(settings: Settings) -> Result<(), StoreFault> {
+    let store = state::Store::open(settings)?;
+    let address = store.settings.internal_address(InternalPort::Store);
+    let listener = socket::listen(address).context(ListenSnafu { address })?;
+    let seeds = store.settings.seed_addresses(InternalPort::Control);
+    spawn_local(follow_members(store.shared.clone(), seeds));
+    let this = store.clone();
+    spawn_local(rpc::serve(listener, move |call| calls::answer(this.clone(), call)));
+    spawn_local(announce::run(store.clone()));
+    spawn_local(budgets::follow_epochs(store.clone()));
+    spawn_local(repair::run(store.clone()));
+    spawn_local(state::tidy(store.clone()));
+    spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
+    info!("serving on {address}");
+    process::told_to_stop().await.context(SignalsSnafu)
+}
--- /dev/null
+++ b/tier/store/src/state.rs
@@ -0,0 +1,253 @@
+//! What a store holds in memory, and how it is read back from the disk.
+
+use crate::disk::{Disk, Opened, Record};
+use crate::{SettingsSnafu, StorageSnafu, StoreFault};
+use log::info;
+use pointcross_tier_protocol::settings::InternalPort;
+use pointcross_tier_protocol::turns::TurnRecord;
+use pointcross_tier_protocol::{Settings, StoreEntry, StoreId, StoreState};
+use pointcross_tier_runtime::follow::SharedView;
+use pointcross_tier_runtime::random;
+use pointcross_tier_runtime::rpc::Peer;
+use pointcross_tier_sessions::{BudgetTable, TurnTable};
+use snafu::ResultExt;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Part of the process's memory that turns may take.
+const MEMORY_PART: usize = 3;
+/// The time of day may jump between two starts; turns are kept so much longer than the clock says.
+const CLOCK_SLACK: Duration = Duration::from_secs(10);
+/// A store whose disk was new less than this ago can't say that a turn never was.
+const DOUBT_AFTER_NEW_DISK: Duration = Duration::from_secs(900);
+/// The time between two looks at what may be forgotten.
+const TIDY_EVERY: Duration = Duration::from_millis(500);
+/// Connections to other stores that are kept.
+const MOST_PEERS: usize = 64;
+
+/// The epoch of the stores up to which all budgets are here.
+#[derive(Clone, Debug, Default)]
+pub struct SyncedEpoch {
+    /// The epoch.
+    pub epoch: u64,
+    /// The stores that were active in it.
+    pub active: Vec<StoreId>,
+}
+
+/// A store.
+pub struct Store {
+    /// Its settings.
+    pub settings: Settings,
+    /// Its disk's number.
+    pub disk_number: u64,
+    /// The directory.
+    pub shared: Rc<SharedView>,
+    /// The turns.
+    pub turns: RefCell<TurnTable>,
+    /// The budgets.
+    pub budgets: RefCell<BudgetTable>,
+    /// Up to which epoch the budgets are whole.
+    pub synced: RefCell<SyncedEpoch>,
+    /// The disk.
+    pub disk: Disk,
+    /// The disk was new after the first start: turns may have been lost with the one before.
+    doubts_until: Cell<Option<Duration>>,
+    started: Instant,
+    most_turn_bytes: usize,
+    peers: RefCell<BTreeMap<SocketAddrV4, Rc<Peer>>>,
+    overwritten_next: RefCell<Option<mpsc::UnboundedReceiver<u64>>>,
+}
+
+fn day_clock_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+}
+
+impl Store {
+    /// Opens the data folder and takes in what it holds.
+    pub fn open(settings: Settings) -> Result<Rc<Self>, StoreFault> {
+        let folder = settings.data_folder("store").context(SettingsSnafu)?.join("store");
+        let Opened { disk, records, overwritten_next } =
+            Disk::open(&folder, settings.limits.disk_mb).context(StorageSnafu)?;
+        let memory = settings.limits.memory_mb as usize * 1024 * 1024 / MEMORY_PART;
+        let most_turn_bytes = memory.min(disk.room);
+        let mut store = Store {
+            settings,
+            disk_number: 0,
+            shared: SharedView::new(),
+            turns: RefCell::default(),
+            budgets: RefCell::default(),
+            synced: RefCell::default(),
+            disk,
+            doubts_until: Cell::new(None),
+            started: Instant::now(),
+            most_turn_bytes,
+            peers: RefCell::default(),
+            overwritten_next: RefCell::new(Some(overwritten_next)),
+        };
+        store.recover(records);
+        info!(
+            "store {} with disk {:x}: {} turns, {} programs",
+            store.settings.node,
+            store.disk_number,
+            store.turns.borrow().len(),
+            store.budgets.borrow().len()
+        );
+        Ok(Rc::new(store))
+    }
+
+    fn recover(&mut self, records: Vec<(u64, Record)>) {
+        let now = self.now();
+        let day_now = day_clock_ms();
+        for (generation, record) in records {
+            match record {
+                Record::Disk { number, first, made_ms } => {
+                    self.disk_number = number;
+                    self.doubt(first, made_ms);
+                }
+                Record::Turn { mut turn, written_ms } => {
+                    let age = day_now.saturating_sub(written_ms);
+                    turn.keep_ms = (turn.keep_ms + CLOCK_SLACK.as_millis() as u64).saturating_sub(age);
+                    self.turns.borrow_mut().insert(now, turn, generation);
+                }
+                Record::Budget { program, reservation } => {
+                    self.budgets.borrow_mut().merge(now, &program, &reservation);
+                }
+                Record::Epoch { epoch, active } => *self.synced.borrow_mut() = SyncedEpoch { epoch, active },
+            }
+        }
+        if self.disk_number == 0 {
+            self.disk_number = random::unique();
+            let first = self.settings.bootstrap;
+            let made_ms = day_clock_ms();
+            let _ = self.disk.write(&Record::Disk { number: self.disk_number, first, made_ms });
+            self.doubt(first, made_ms);
+        }
+    }
+
+    fn doubt(&self, first: bool, made_ms: u64) {
+        let age = Duration::from_millis(day_clock_ms().saturating_sub(made_ms));
+        let doubtful = !first && age < DOUBT_AFTER_NEW_DISK;
+        self.doubts_until.set(doubtful.then(|| self.now() + DOUBT_AFTER_NEW_DISK));
+    }
+
+    /// The time since this process started.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Whether a turn that isn't here certainly never was.
+    pub fn is_certain(&self) -> bool {
+        self.doubts_until.get().is_none_or(|until| self.now() > until)
+    }
+
+    /// This store's id.
+    pub fn id(&self) -> StoreId {
+        StoreId { node: self.settings.node.clone(), disk: self.disk_number }
+    }
+
+    /// This store's entry, as it announces itself.
+    pub fn entry(&self) -> StoreEntry {
+        StoreEntry {
+            id: self.id(),
+            address: self.settings.internal_address(InternalPort::Store),
+            zone: self.settings.zone.clone(),
+            state: StoreState::Active,
+        }
+    }
+
+    /// What the directory says of this store.
+    pub fn listed_state(&self) -> Option<StoreState> {
+        let id = self.id();
+        self.shared.read(|view| view.directory().store(&id).map(|store| store.state))
+    }
+
+    /// The epoch of the stores as far as it is known here.
+    pub fn epoch(&self) -> u64 {
+        self.shared.read(|view| view.directory().store_epoch)
+    }
+
+    /// The connection to another store.
+    pub fn peer(&self, address: SocketAddrV4) -> Rc<Peer> {
+        let mut peers = self.peers.borrow_mut();
+        if peers.len() > MOST_PEERS {
+            peers.clear();
+        }
+        peers.entry(address).or_insert_with(|| Peer::new(address)).clone()
+    }
+
+    /// Whether there is room for more turns.
+    pub fn has_room(&self) -> bool {
+        self.turns.borrow().bytes() < self.most_turn_bytes
+    }
+
+    /// Writes turns to the disk and keeps them. Gives whether all are safe.
+    pub async fn keep(&self, turns: Vec<TurnRecord>) -> bool {
+        let written_ms = day_clock_ms();
+        let mut writes = Vec::with_capacity(turns.len());
+        for turn in turns {
+            let record = Record::Turn { turn, written_ms };
+            let written = self.disk.write(&record);
+            let Record::Turn { turn, .. } = record else { continue };
+            writes.push((turn, written));
+        }
+        let mut all_safe = true;
+        for (turn, written) in writes {
+            match written.await {
+                Ok(Some(location)) => {
+                    let now = self.now();
+                    self.turns.borrow_mut().insert(now, turn, location.generation);
+                }
+                _ => all_safe = false,
+            }
+        }
+        all_safe
+    }
+}
+
+/// Forgets what is over, and writes again what stands in a file that is overwritten next.
+pub async fn tidy(store: Rc<Store>) {
+    let mut overwritten_next = store.overwritten_next.take().expect("tidied by one task");
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(TIDY_EVERY) => {
+                let now = store.now();
+                store.turns.borrow_mut().forget_ended(now);
+                store.budgets.borrow_mut().forget_old(now);
+            }
+            generation = overwritten_next.recv() => match generation {
+                Some(generation) => write_again(&store, generation).await,
+                None => return,
+            },
+        }
+    }
+}
+
+async fn write_again(store: &Rc<Store>, generation: u64) {
+    let now = store.now();
+    store.turns.borrow_mut().forget_ended(now);
+    let needed = store.turns.borrow().in_generation(now, generation);
+    let mut safe = store.keep(needed).await;
+    let budgets = store.budgets.borrow().all();
+    let mut writes = Vec::new();
+    for (program, reservations) in budgets {
+        for reservation in reservations {
+            writes.push(store.disk.write(&Record::Budget { program: program.clone(), reservation }));
+        }
+    }
+    let SyncedEpoch { epoch, active } = store.synced.borrow().clone();
+    writes.push(store.disk.write(&Record::Epoch { epoch, active }));
+    let first = store.is_certain();
+    let number = store.disk_number;
+    writes.push(store.disk.write(&Record::Disk { number, first, made_ms: day_clock_ms() }));
+    for written in writes {
+        safe &= matches!(written.await, Ok(Some(_)));
+    }
+    if safe {
+        store.disk.clear(generation);
+    }
+}
