Let a store that stops say so, and raise the limit on descriptors

At the same time processes held to 1,024 descriptors ran short of them. Agents slept through the whole grace and were killed.

Change: a store announces its planned stop, hands its budgets to the others and only then ends; members ping stores and set aside one that is silent for 7 s; pulls name the disk they mean; the proxy closes its clients' connections in order once the platform has noticed that it drains.

--- a/tier/agent/src/lib.rs
+++ b/tier/agent/src/lib.rs
@@ -10,8 +10,12 @@
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::task::spawn_local;
 
+/// The agent ends so long before the platform would kill it.
+const KILL_MARGIN: Duration = Duration::from_millis(800);
+
 /// Why an agent can't serve.
 #[derive(Debug, Snafu)]
 pub enum AgentFault {
@@ -44,7 +48,7 @@
     info!("feeding on {address}");
     process::told_to_stop().await.context(SignalsSnafu)?;
     // The proxy finishes what it took within the grace; it hears of instances that drain until then.
-    tokio::time::sleep(settings.drain_grace()).await;
+    tokio::time::sleep(settings.drain_grace().saturating_sub(KILL_MARGIN)).await;
     Ok(())
 }
 
@@ -55,6 +59,8 @@
             Some(ControlReply::OutOfTouch)
         }
         ControlCall::Follow(request) => Some(shared.answer(&request).await),
-        ControlCall::AnnounceStore(_) | ControlCall::StoreEmptied(_) => Some(ControlReply::OutOfTouch),
+        ControlCall::AnnounceStore(_) | ControlCall::StoreLeaves(_) | ControlCall::StoreEmptied(_) => {
+            Some(ControlReply::OutOfTouch)
+        }
     }
 }
--- a/tier/cli/src/main.rs
+++ b/tier/cli/src/main.rs
@@ -104,6 +104,7 @@
         return Ok(());
     };
     pointcross_tier_runtime::log::start(&settings.node, &role_name, level);
+    process::allow_connections(settings.limits.max_fds);
     let served = process::run(async {
         match role {
             Role::Proxy => pointcross_tier_proxy::run(settings).await.context(ProxySnafu),
--- a/tier/control/src/followers.rs
+++ b/tier/control/src/followers.rs
@@ -11,6 +11,7 @@
         ControlCall::Follow(_) if !member.in_touch() => Some(ControlReply::OutOfTouch),
         ControlCall::Follow(request) => Some(member.shared.answer(&request).await),
         ControlCall::AnnounceStore(entry) => stores::announce(&member, entry).await,
+        ControlCall::StoreLeaves(id) => stores::leaves(&member, id).await,
         ControlCall::StoreEmptied(id) => stores::emptied(&member, id).await,
     }
 }
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -74,6 +74,7 @@
     spawn_local(http::serve(member.clone(), outside));
     spawn_local(sync::run(member.clone()));
     spawn_local(joining::run(member.clone()));
+    spawn_local(stores::watch(member.clone()));
     spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
     info!("serving on {control_address}");
     process::told_to_stop().await.context(SignalsSnafu)
--- a/tier/control/src/operator.rs
+++ b/tier/control/src/operator.rs
@@ -84,6 +84,6 @@
     match member.shared.read(|view| view.directory().state_of_node(node)) {
         Some(StoreState::Retiring) => Reply::json(r#"{"State":"running"}"#),
         Some(StoreState::Retired) => Reply::json(r#"{"State":"completed"}"#),
-        Some(StoreState::Active | StoreState::Lost) | None => Reply::not_found("not retiring"),
+        Some(StoreState::Active | StoreState::Away) | None => Reply::not_found("not retiring"),
     }
 }
--- a/tier/protocol/src/directory.rs
+++ b/tier/protocol/src/directory.rs
@@ -48,8 +48,8 @@
     Retiring,
     /// Everything it held stands elsewhere.
     Retired,
-    /// Silent while a successor came; counts as gone unless it announces itself again.
-    Lost,
+    /// Stopped, replaced or silent for long; takes no part unless it announces itself again.
+    Away,
 }
 
 /// A store that the tier knows of.
@@ -159,7 +159,7 @@
         let known = self.stores.iter().find(|store| store.id == entry.id);
         if let Some(known) = known {
             let same_place = known.address == entry.address && known.zone == entry.zone;
-            if known.state != StoreState::Lost && same_place {
+            if known.state != StoreState::Away && same_place {
                 return false;
             }
             if known.state == StoreState::Retired {
@@ -171,7 +171,7 @@
             let given_up = silent.contains(&store.id) && store.id != entry.id;
             let takes_part = matches!(store.state, StoreState::Active | StoreState::Retiring);
             if takes_part && (replaced || given_up) {
-                store.state = StoreState::Lost;
+                store.state = StoreState::Away;
             }
         }
         let state = match self.store(&entry.id).map(|store| store.state) {
@@ -186,7 +186,7 @@
     }
 
     fn forget_gone_stores(&mut self) {
-        let gone = |store: &StoreEntry| matches!(store.state, StoreState::Lost | StoreState::Retired);
+        let gone = |store: &StoreEntry| matches!(store.state, StoreState::Away | StoreState::Retired);
         while self.stores.iter().filter(|store| gone(store)).count() > MOST_GONE_STORES {
             let oldest = self.stores.iter().position(gone).expect("more than none are gone");
             self.stores.remove(oldest);
@@ -208,7 +208,7 @@
         if under_way(&self.stores[newest]) {
             return RetireOutcome::Begun;
         }
-        if self.stores[newest].state == StoreState::Lost {
+        if self.stores[newest].state == StoreState::Away {
             return RetireOutcome::Unknown;
         }
         if self.active_stores().count() <= least {
@@ -232,6 +232,21 @@
         true
     }
 
+    /// Takes note that active stores have stopped or are silent. Gives whether anything changed.
+    pub fn set_away(&mut self, ids: &[StoreId]) -> bool {
+        let mut changed = false;
+        for store in &mut self.stores {
+            if store.state == StoreState::Active && ids.contains(&store.id) {
+                store.state = StoreState::Away;
+                changed = true;
+            }
+        }
+        if changed {
+            self.stores_changed();
+        }
+        changed
+    }
+
     /// The state of the newest store on a machine.
     pub fn state_of_node(&self, node: &str) -> Option<StoreState> {
         self.stores.iter().rev().find(|store| store.id.node == node).map(|store| store.state)
--- a/tier/protocol/src/messages.rs
+++ b/tier/protocol/src/messages.rs
@@ -43,6 +43,8 @@
     Follow(FollowRequest),
     /// A store is there.
     AnnounceStore(StoreEntry),
+    /// A store is about to stop.
+    StoreLeaves(StoreId),
     /// A retiring store has handed everything on.
     StoreEmptied(StoreId),
 }
@@ -98,6 +100,10 @@
     },
     /// All budgets; the callee refuses older epochs from here on.
     PullBudgets {
+        /// The caller.
+        caller: StoreId,
+        /// The store that is meant: a machine that lost its disk must not answer for the one it had.
+        callee: StoreId,
         /// The caller's epoch of the stores.
         epoch: u64,
     },
--- a/tier/proxy/src/front.rs
+++ b/tier/proxy/src/front.rs
@@ -9,7 +9,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info};
 use pointcross_tier_runtime::socket;
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -23,11 +22,9 @@
 /// hyper wants room for this much of a head at the least.
 const LEAST_HEAD: usize = 8192;
 /// The platform notices within two checks of a second each that a proxy is not ready.
-const NOTICED_AFTER: Duration = Duration::from_millis(2600);
-/// What was taken is finished so long before the kill.
-const KILL_MARGIN: Duration = Duration::from_millis(400);
-/// The last answers' bytes have this long to leave.
-const LAST_BYTES: Duration = Duration::from_millis(60);
+const NOTICED_AFTER: Duration = Duration::from_millis(2300);
+/// The process ends so long before the kill.
+const KILL_MARGIN: Duration = Duration::from_millis(200);
 /// The time between two looks at whether all is finished.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
@@ -35,20 +32,25 @@
 pub async fn serve(proxy: Rc<Proxy>, listener: TcpListener) {
     let max_fds = proxy.settings.limits.max_fds;
     let most = max_fds.saturating_sub(OTHER_DESCRIPTORS).max(max_fds / 2);
-    let open = Rc::new(Cell::new(0));
+    let mut closing = proxy.closing.subscribe();
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        let Ok((stream, _)) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        let open = &proxy.open_connections;
         if open.get() >= most || socket::prepare(&stream).is_err() {
             continue;
         }
         open.set(open.get() + 1);
-        let (proxy, open) = (proxy.clone(), open.clone());
+        let proxy = proxy.clone();
         spawn_local(async move {
-            serve_connection(proxy, stream).await;
-            open.set(open.get() - 1);
+            serve_connection(proxy.clone(), stream).await;
+            proxy.open_connections.set(proxy.open_connections.get() - 1);
         });
     }
 }
@@ -60,8 +62,18 @@
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(limits.header_timeout_ms)))
         .max_buf_size(limits.max_header_bytes.max(LEAST_HEAD));
+    let mut closing = proxy.closing.subscribe();
     let service = service_fn(move |request| answer(proxy.clone(), request));
-    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut result = tokio::select! {
+        result = &mut connection => Some(result),
+        _ = closing.wait_for(|closing| *closing) => None,
+    };
+    if result.is_none() {
+        connection.as_mut().graceful_shutdown();
+        result = Some(connection.await);
+    }
+    if let Some(Err(error)) = result {
         debug!("a client's connection: {error}");
     }
 }
@@ -74,19 +86,16 @@
     Ok(answer)
 }
 
-/// After SIGTERM: not ready, but serving on until the platform has noticed and all that was taken is finished.
+/// After SIGTERM: not ready, but serving on until the platform has noticed; then no new requests are taken, and what
+/// was taken is finished.
 pub async fn drain(proxy: &Proxy, grace: Duration) {
     info!("draining");
     proxy.draining.set(true);
-    let begun = Instant::now();
-    loop {
+    let kill = Instant::now() + grace;
+    tokio::time::sleep(NOTICED_AFTER.min(grace / 3)).await;
+    proxy.closing.send_replace(true);
+    while proxy.open_connections.get() > 0 && Instant::now() + KILL_MARGIN < kill {
         tokio::time::sleep(LOOK_EVERY).await;
-        let elapsed = begun.elapsed();
-        let idle = proxy.open_requests.get() == 0;
-        if elapsed > grace.saturating_sub(KILL_MARGIN) || (idle && elapsed > NOTICED_AFTER) {
-            info!("ending with {} requests open", proxy.open_requests.get());
-            tokio::time::sleep(LAST_BYTES).await;
-            return;
-        }
     }
+    info!("ending with {} connections open", proxy.open_connections.get());
 }
--- a/tier/proxy/src/proxy.rs
+++ b/tier/proxy/src/proxy.rs
@@ -11,6 +11,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Part of the process's memory that cached chains may take.
@@ -38,8 +39,10 @@
     pub chains: RefCell<ChainCache>,
     /// Set from SIGTERM on.
     pub draining: Cell<bool>,
-    /// Requests that are open.
-    pub open_requests: Cell<usize>,
+    /// Set once no new requests are taken.
+    pub closing: watch::Sender<bool>,
+    /// Clients' connections that are open.
+    pub open_connections: Cell<usize>,
     started: Instant,
 }
 
@@ -57,7 +60,8 @@
             stores: Stores::new(shared, &settings),
             chains: RefCell::new(ChainCache::new(cache_bytes)),
             draining: Cell::new(false),
-            open_requests: Cell::new(0),
+            closing: watch::channel(false).0,
+            open_connections: Cell::new(0),
             started: Instant::now(),
             settings,
         })
@@ -75,23 +79,6 @@
     }
 }
 
-/// Counts a request for as long as it is open.
-pub struct OpenRequest(Rc<Proxy>);
-
-impl OpenRequest {
-    /// Counts a request from now on.
-    pub fn new(proxy: &Rc<Proxy>) -> Self {
-        proxy.open_requests.set(proxy.open_requests.get() + 1);
-        OpenRequest(proxy.clone())
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
-    }
-}
-
 /// Puts what the agent tells in force.
 pub async fn follow_view(proxy: Rc<Proxy>) {
     let mut changes = proxy.shared.changes();
--- a/tier/proxy/src/request.rs
+++ b/tier/proxy/src/request.rs
@@ -9,7 +9,7 @@
 
 use crate::answer::{self, Aborted, Answer};
 use crate::budget::{self, BudgetFault, Granted, TurnBudget};
-use crate::proxy::{OpenRequest, Proxy};
+use crate::proxy::Proxy;
 use crate::stream::{self, RetainedTurn};
 use crate::turns::{self, ChainFault};
 use bytes::{Bytes, BytesMut};
@@ -29,7 +29,6 @@
 
 /// Serves one request.
 pub async fn serve(proxy: &Rc<Proxy>, request: Request<Incoming>) -> Result<Answer, Aborted> {
-    let open = OpenRequest::new(proxy);
     let mut context = match RequestContext::read(proxy, request).await {
         Ok(context) => context,
         Err(answer) => return Ok(answer),
@@ -57,7 +56,7 @@
             settle(granted, 0);
             Ok(answer)
         }
-        Answered::Stream(begun) => Ok(stream::pass_on(attempts, *begun, retained, granted, open)),
+        Answered::Stream(begun) => Ok(stream::pass_on(attempts, *begun, retained, granted)),
         Answered::Broken(status) => {
             // What a broken attempt generated never reached the client.
             settle(granted, 0);
--- a/tier/proxy/src/stream.rs
+++ b/tier/proxy/src/stream.rs
@@ -3,7 +3,6 @@
 use crate::answer::{self, Aborted, Answer};
 use crate::budget::Granted;
 use crate::events::EventSplitter;
-use crate::proxy::OpenRequest;
 use crate::request::{Attempts, attempt::Begun};
 use crate::turns;
 use bytes::{Bytes, BytesMut};
@@ -57,17 +56,13 @@
     begun: Begun,
     retained: Option<RetainedTurn>,
     granted: Option<Granted>,
-    open: OpenRequest,
 ) -> Answer {
     let (sender, receiver) = mpsc::channel(MOST_WAITING_EVENTS);
     let answer = answer::pieces(begun.head.status, begun.head.headers.clone(), receiver);
     let last_event = attempts.context.last_event.clone();
     let keeps_output = retained.is_some();
     let relay = Relay { attempts, sender, last_event, events: 0, output: BytesMut::new(), keeps_output };
-    spawn_local(async move {
-        relay.run(begun, retained, granted).await;
-        drop(open);
-    });
+    spawn_local(relay.run(begun, retained, granted));
     answer
 }
 
--- a/tier/store/src/budgets.rs
+++ b/tier/store/src/budgets.rs
@@ -5,69 +5,64 @@
 
 use crate::disk::Record;
 use crate::state::{Store, SyncedEpoch};
-use log::{debug, info};
+use log::info;
 use pointcross_tier_protocol::messages::{StoreCall, StoreReply};
-use pointcross_tier_protocol::{Directory, StoreEntry, StoreId, StoreState};
+use pointcross_tier_protocol::turns::Reservation;
+use pointcross_tier_protocol::{Directory, StoreId, StoreState};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::mpsc;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// How long another store may take to tell its budgets.
 const PULL_WITHIN: Duration = Duration::from_millis(800);
+/// Where more stores are lost than the deployment bears, what they alone held is given up after so long.
+const GIVE_UP_LOST: Duration = Duration::from_secs(10);
 /// The pause before what failed is tried again.
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Follows the epochs for ever.
 pub async fn follow_epochs(store: Rc<Store>) {
     let mut changes = store.shared.changes();
+    let mut since = Instant::now();
     loop {
         changes.borrow_and_update();
         let directory = store.shared.read(|view| view.directory().clone());
         let is_listed = directory.store(&store.id()).is_some();
         if is_listed && directory.store_epoch > store.synced.borrow().epoch {
-            if !sync(&store, &directory).await {
+            if !sync(&store, &directory, since).await {
                 tokio::time::sleep(PAUSE).await;
             }
             continue;
         }
+        since = Instant::now();
         let _ = changes.changed().await;
     }
 }
 
 /// Brings the budgets up to an epoch. Gives whether that succeeded.
-async fn sync(store: &Rc<Store>, directory: &Arc<Directory>) -> bool {
-    let id = store.id();
+async fn sync(store: &Rc<Store>, directory: &Arc<Directory>, since: Instant) -> bool {
     let epoch = directory.store_epoch;
-    let asked: Vec<StoreEntry> = directory
-        .stores
-        .iter()
-        .filter(|other| other.id != id && other.state != StoreState::Lost)
-        .cloned()
-        .collect();
-    let calls: Vec<_> = asked
-        .into_iter()
-        .map(|other| {
-            let peer = store.peer(other.address);
-            spawn_local(
-                async move { (other.id, peer.call(&StoreCall::PullBudgets { epoch }, PULL_WITHIN).await) },
-            )
-        })
-        .collect();
-    let mut answered = BTreeSet::from([id]);
-    for call in calls {
-        match call.await {
-            Ok((other, Ok(StoreReply::Budgets(budgets)))) => {
-                take_in(store, budgets);
-                answered.insert(other);
-            }
-            Ok((other, reply)) => debug!("budgets of {other:?}: {reply:?}"),
-            Err(_) => {}
-        }
-    }
     let before = store.synced.borrow().active.clone();
-    if !may_serve(directory, &before, &answered, store.settings.fault_tolerance.machines) {
+    let tolerated = store.settings.fault_tolerance.machines;
+    let mut answered = BTreeSet::from([store.id()]);
+    let mut replies = ask_all(store, directory);
+    let mut is_enough = false;
+    while !is_enough && let Some((other, reply)) = replies.recv().await {
+        let Some(StoreReply::Budgets(budgets)) = reply else {
+            continue;
+        };
+        take_in(store, budgets);
+        answered.insert(other);
+        let all_active = directory.active_stores().all(|other| answered.contains(&other.id));
+        is_enough = all_active && may_serve(directory, &before, &answered, tolerated);
+    }
+    let missing_now = directory.active_stores().filter(|other| !answered.contains(&other.id)).count();
+    let waited_long = missing_now == 0 && since.elapsed() > GIVE_UP_LOST;
+    if !waited_long && !may_serve(directory, &before, &answered, tolerated) {
         return false;
     }
     let active: Vec<StoreId> = directory.active_stores().map(|store| store.id.clone()).collect();
@@ -81,7 +76,26 @@
     true
 }
 
-fn take_in(store: &Store, budgets: Vec<(String, Vec<pointcross_tier_protocol::turns::Reservation>)>) {
+type Reply = (StoreId, Option<StoreReply>);
+
+/// Asks all other stores for their budgets, those that are away as well: they may be stopping just now.
+fn ask_all(store: &Rc<Store>, directory: &Directory) -> mpsc::UnboundedReceiver<Reply> {
+    let (sender, replies) = mpsc::unbounded_channel();
+    let own = store.id();
+    let epoch = directory.store_epoch;
+    let asked = directory.stores.iter().filter(|other| other.id != own && other.state != StoreState::Retired);
+    for other in asked {
+        let (peer, sender, id) = (store.peer(other.address), sender.clone(), other.id.clone());
+        let call = StoreCall::PullBudgets { caller: own.clone(), callee: id.clone(), epoch };
+        spawn_local(async move {
+            let reply = peer.call(&call, PULL_WITHIN).await;
+            let _ = sender.send((id, reply.ok()));
+        });
+    }
+    replies
+}
+
+fn take_in(store: &Store, budgets: Vec<(String, Vec<Reservation>)>) {
     let now = store.now();
     for (program, reservations) in budgets {
         for reservation in reservations {
@@ -102,7 +116,7 @@
 ) -> bool {
     let missing_now = directory.readable_stores().filter(|store| !answered.contains(&store.id)).count();
     let is_new = before.is_empty();
-    let lost_before = directory.stores.iter().filter(|store| store.state == StoreState::Lost).count();
+    let lost_before = directory.stores.iter().filter(|store| store.state == StoreState::Away).count();
     if is_new {
         // A lost store may have been in a majority with any other: none of those may be missing as well.
         let allowed = if lost_before > 0 { tolerated.saturating_sub(1) } else { tolerated };
--- a/tier/store/src/calls.rs
+++ b/tier/store/src/calls.rs
@@ -3,9 +3,9 @@
 use crate::disk::Record;
 use crate::repair;
 use crate::state::Store;
-use pointcross_tier_protocol::StoreState;
 use pointcross_tier_protocol::messages::{StoreCall, StoreReply};
 use pointcross_tier_protocol::turns::{Reservation, TurnRecord};
+use pointcross_tier_protocol::{StoreId, StoreState};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,7 +26,8 @@
             note(&store, &program, &reservation);
             Some(StoreReply::Done)
         }
-        StoreCall::PullBudgets { epoch } => Some(pull(&store, epoch).await),
+        StoreCall::PullBudgets { callee, .. } if callee != store.id() => Some(StoreReply::NotReady),
+        StoreCall::PullBudgets { caller, epoch, .. } => Some(pull(&store, caller, epoch).await),
     }
 }
 
@@ -36,7 +37,7 @@
         Some(StoreState::Retiring | StoreState::Retired) => {
             return Some(StoreReply::OtherEpoch { epoch: store.epoch() });
         }
-        Some(StoreState::Lost) | None => return Some(StoreReply::NotReady),
+        Some(StoreState::Away) | None => return Some(StoreReply::NotReady),
     }
     if !store.has_room() {
         return Some(StoreReply::Full);
@@ -107,10 +108,11 @@
     }
 }
 
-async fn pull(store: &Rc<Store>, epoch: u64) -> StoreReply {
+async fn pull(store: &Rc<Store>, caller: StoreId, epoch: u64) -> StoreReply {
     let known = known_epoch(store, epoch).await;
     if known < epoch {
         return StoreReply::OtherEpoch { epoch: known };
     }
+    store.pulled.borrow_mut().insert(caller, epoch);
     StoreReply::Budgets(store.budgets.borrow().all())
 }
--- a/tier/store/src/lib.rs
+++ b/tier/store/src/lib.rs
@@ -63,5 +63,7 @@
     spawn_local(state::tidy(store.clone()));
     spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
     info!("serving on {address}");
-    process::told_to_stop().await.context(SignalsSnafu)
+    process::told_to_stop().await.context(SignalsSnafu)?;
+    announce::leave(&store).await;
+    Ok(())
 }
--- a/tier/store/src/state.rs
+++ b/tier/store/src/state.rs
@@ -53,6 +53,10 @@
     pub budgets: RefCell<BudgetTable>,
     /// Up to which epoch the budgets are whole.
     pub synced: RefCell<SyncedEpoch>,
+    /// Up to which epoch others have taken this store's budgets.
+    pub pulled: RefCell<BTreeMap<StoreId, u64>>,
+    /// A planned stop has begun.
+    pub leaving: Cell<bool>,
     /// The disk.
     pub disk: Disk,
     /// The disk was new after the first start: turns may have been lost with the one before.
@@ -82,6 +86,8 @@
             turns: RefCell::default(),
             budgets: RefCell::default(),
             synced: RefCell::default(),
+            pulled: RefCell::default(),
+            leaving: Cell::new(false),
             disk,
             doubts_until: Cell::new(None),
             started: Instant::now(),
