--- a/tier/agent/src/lib.rs
+++ b/tier/agent/src/lib.rs
@@ -5,8 +5,10 @@
 use log::info;
 use pointcross_tier_protocol::messages::{ControlCall, ControlReply};
 use pointcross_tier_protocol::settings::{InternalPort, Settings};
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::{SharedView, follow_members};
-use pointcross_tier_runtime::{process, rpc, socket};
+use pointcross_tier_runtime::process::Stop;
+use pointcross_tier_runtime::{process, rpc};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -36,17 +38,17 @@
 }
 
 /// Follows and feeds until SIGTERM, and then for as long as its proxy may need it.
-pub async fn run(settings: Settings) -> Result<(), AgentFault> {
+pub async fn run(settings: Settings, environment: Environment, stop: Stop) -> Result<(), AgentFault> {
     let shared = SharedView::new();
     let address = settings.feed_address();
-    let listener = socket::listen(address).context(ListenSnafu { address })?;
+    let listener = environment.network.listen(address).context(ListenSnafu { address })?;
     let seeds = settings.seed_addresses(InternalPort::Control);
-    spawn_local(follow_members(shared.clone(), seeds));
+    spawn_local(follow_members(environment, shared.clone(), seeds));
     let view = shared.clone();
     spawn_local(rpc::serve(listener, move |call| answer(view.clone(), call)));
     spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
     info!("feeding on {address}");
-    process::told_to_stop().await.context(SignalsSnafu)?;
+    stop.await.context(SignalsSnafu)?;
     // The proxy finishes what it took within the grace; it hears of instances that drain until then.
     tokio::time::sleep(settings.drain_grace().saturating_sub(KILL_MARGIN)).await;
     Ok(())
--- a/tier/cli/src/main.rs
+++ b/tier/cli/src/main.rs
@@ -4,6 +4,7 @@
 use log::{LevelFilter, error};
 use pointcross_tier_protocol::Settings;
 use pointcross_tier_protocol::settings::SettingsFault;
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::process;
 use snafu::{ResultExt, Snafu};
 use std::path::Path;
@@ -106,11 +107,15 @@
     pointcross_tier_runtime::log::start(&settings.node, &role_name, level);
     process::allow_connections(settings.limits.max_fds);
     let served = process::run(async {
+        let environment = Environment::system();
+        let stop = Box::pin(process::told_to_stop());
         match role {
-            Role::Proxy => pointcross_tier_proxy::run(settings).await.context(ProxySnafu),
-            Role::Agent => pointcross_tier_agent::run(settings).await.context(AgentSnafu),
-            Role::Control => pointcross_tier_control::run(settings).await.context(ControlSnafu),
-            Role::Store => pointcross_tier_store::run(settings).await.context(StoreSnafu),
+            Role::Proxy => pointcross_tier_proxy::run(settings, environment, stop).await.context(ProxySnafu),
+            Role::Agent => pointcross_tier_agent::run(settings, environment, stop).await.context(AgentSnafu),
+            Role::Control => {
+                pointcross_tier_control::run(settings, environment, stop).await.context(ControlSnafu)
+            }
+            Role::Store => pointcross_tier_store::run(settings, environment, stop).await.context(StoreSnafu),
             Role::Check => Ok(()),
         }
     });
--- a/tier/control/src/http.rs
+++ b/tier/control/src/http.rs
@@ -10,12 +10,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::debug;
 use pointcross_tier_protocol::headers::BASE_VERSION;
-use pointcross_tier_runtime::socket;
+use pointcross_tier_runtime::network::{Listener, Stream};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 /// The longest order: the largest body that clients may send by default, twice.
@@ -76,15 +75,15 @@
 }
 
 /// Serves callers from outside for ever.
-pub async fn serve(member: Rc<Member>, listener: TcpListener) {
+pub async fn serve(member: Rc<Member>, mut listener: Box<dyn Listener>) {
     let most = (member.settings.limits.max_fds / OUTSIDE_PART).max(16);
     let open = Rc::new(Cell::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(stream) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.get() >= most || socket::prepare(&stream).is_err() {
+        if open.get() >= most {
             continue;
         }
         open.set(open.get() + 1);
@@ -98,7 +97,7 @@
     }
 }
 
-async fn serve_connection(member: Rc<Member>, stream: TcpStream, keep: bool) {
+async fn serve_connection(member: Rc<Member>, stream: Stream, keep: bool) {
     let idle = Duration::from_millis(member.settings.heartbeat_ms) * IDLE_HEARTBEATS;
     let service = service_fn(move |request| answer(member.clone(), request));
     let connection = hyper::server::conn::http1::Builder::new()
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -16,7 +16,9 @@
 
 use log::info;
 use pointcross_tier_protocol::settings::{InternalPort, Settings, SettingsFault};
-use pointcross_tier_runtime::{process, rpc, socket};
+use pointcross_tier_runtime::environment::Environment;
+use pointcross_tier_runtime::process::Stop;
+use pointcross_tier_runtime::{process, rpc};
 use pointcross_tier_storage::RingFault;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
@@ -54,18 +56,19 @@
 }
 
 /// Serves until SIGTERM.
-pub async fn run(settings: Settings) -> Result<(), ControlFault> {
+pub async fn run(settings: Settings, environment: Environment, stop: Stop) -> Result<(), ControlFault> {
     let control_address = settings
         .listen_addrs
         .control_addr
         .ok_or(SettingsFault::Missing { key: "ListenAddrs.ControlAddr", role: "control" })
         .context(SettingsSnafu)?;
-    let member = member::Member::open(settings)?;
+    let member = member::Member::open(settings, environment.clone())?;
     let member_address = member.settings.internal_address(InternalPort::Member);
     let follow_address = member.settings.internal_address(InternalPort::Control);
-    let members = socket::listen(member_address).context(ListenSnafu { address: member_address })?;
-    let follow = socket::listen(follow_address).context(ListenSnafu { address: follow_address })?;
-    let outside = socket::listen(control_address).context(ListenSnafu { address: control_address })?;
+    let network = &environment.network;
+    let members = network.listen(member_address).context(ListenSnafu { address: member_address })?;
+    let follow = network.listen(follow_address).context(ListenSnafu { address: follow_address })?;
+    let outside = network.listen(control_address).context(ListenSnafu { address: control_address })?;
 
     let this = member.clone();
     spawn_local(rpc::serve(members, move |call| messages::answer(this.clone(), call)));
@@ -77,5 +80,5 @@
     spawn_local(stores::watch(member.clone()));
     spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
     info!("serving on {control_address}");
-    process::told_to_stop().await.context(SignalsSnafu)
+    stop.await.context(SignalsSnafu)
 }
--- a/tier/control/src/member.rs
+++ b/tier/control/src/member.rs
@@ -7,6 +7,7 @@
 use pointcross_tier_protocol::settings::InternalPort;
 use pointcross_tier_protocol::{Directory, Settings};
 use pointcross_tier_register::{Ballot, Group, MemberId, Value};
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::SharedView;
 use pointcross_tier_runtime::random;
 use pointcross_tier_runtime::rpc::Peer;
@@ -39,6 +40,8 @@
 pub struct Member {
     /// Its settings.
     pub settings: Settings,
+    /// Its network and clocks.
+    pub environment: Environment,
     /// Tells this life of the process from others, also as a proposer.
     pub life: u64,
     /// Its voting half.
@@ -61,7 +64,7 @@
 
 impl Member {
     /// Opens a member's data folder.
-    pub fn open(settings: Settings) -> Result<Rc<Self>, ControlFault> {
+    pub fn open(settings: Settings, environment: Environment) -> Result<Rc<Self>, ControlFault> {
         let seeds = settings.seed_addresses(InternalPort::Member);
         let own = settings.internal_address(InternalPort::Member);
         let first_group = Group::first(&seeds);
@@ -73,11 +76,13 @@
         });
         let folder = settings.data_folder("control").context(SettingsSnafu)?.join("register");
         let Opened { voter, group } =
-            Voter::open(&folder, settings.limits.disk_mb, first_value).context(StorageSnafu)?;
+            Voter::open(&folder, settings.limits.disk_mb, first_value, environment.worker_mode)
+                .context(StorageSnafu)?;
         let group = group.unwrap_or(first_group);
         info!("member {own} with disk {:x}; members {:?}", voter.disk(), group.members);
         Ok(Rc::new(Member {
             settings,
+            environment,
             life: random::unique(),
             voter,
             shared: SharedView::new(),
@@ -156,7 +161,7 @@
         if peers.len() > MOST_PEERS {
             peers.clear();
         }
-        peers.entry(address).or_insert_with(|| Peer::new(address)).clone()
+        peers.entry(address).or_insert_with(|| Peer::new(&self.environment, address)).clone()
     }
 
     /// What is known of the exchange with another member.
--- a/tier/control/src/stores.rs
+++ b/tier/control/src/stores.rs
@@ -6,9 +6,11 @@
 use pointcross_tier_protocol::messages::{ControlReply, StoreCall, StoreReply};
 use pointcross_tier_protocol::{StoreEntry, StoreId};
 use pointcross_tier_register::MemberId;
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::rpc::Peer;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -55,7 +57,8 @@
         .readable_stores()
         .map(|store| {
             let (id, address) = (store.id.clone(), store.address);
-            spawn_local(async move { (id, answers(address).await) })
+            let environment = member.environment.clone();
+            spawn_local(async move { (id, answers(&environment, address).await) })
         })
         .collect();
     let mut silent = Vec::new();
@@ -67,10 +70,10 @@
     silent
 }
 
-async fn answers(address: std::net::SocketAddrV4) -> bool {
+async fn answers(environment: &Environment, address: SocketAddrV4) -> bool {
     for _ in 0..PINGS {
         let begun = Instant::now();
-        let reply = Peer::new(address).call::<StoreReply>(&StoreCall::Ping, PING_WITHIN).await;
+        let reply = Peer::new(environment, address).call::<StoreReply>(&StoreCall::Ping, PING_WITHIN).await;
         if reply.is_ok() {
             return true;
         }
@@ -111,9 +114,11 @@
         let pings: Vec<_> = own
             .into_iter()
             .map(|store| {
+                let environment = member.environment.clone();
                 spawn_local(async move {
-                    let reply =
-                        Peer::new(store.address).call::<StoreReply>(&StoreCall::Ping, PING_WITHIN).await;
+                    let reply = Peer::new(&environment, store.address)
+                        .call::<StoreReply>(&StoreCall::Ping, PING_WITHIN)
+                        .await;
                     (store.id, reply.is_ok())
                 })
             })
--- a/tier/control/src/voter.rs
+++ b/tier/control/src/voter.rs
@@ -3,12 +3,12 @@
 use log::{error, info};
 use pointcross_tier_protocol::Directory;
 use pointcross_tier_register::{Acceptor, AcceptorReply, AcceptorRequest, Ballot, Durable, Group, Value};
+use pointcross_tier_runtime::worker::{Worker, WorkerMode};
 use pointcross_tier_runtime::{random, rpc};
 use pointcross_tier_storage::{Ring, RingFault, RingLayout};
 use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::path::Path;
-use std::sync::mpsc;
 use tokio::sync::oneshot;
 
 /// Files of the ring: one in use, one before it, one to move on to.
@@ -32,7 +32,7 @@
 /// An acceptor, and the thread that waits for its disk.
 pub struct Voter {
     acceptor: RefCell<Acceptor<Directory>>,
-    writes: mpsc::Sender<Write>,
+    writes: Worker<Write>,
 }
 
 /// What a member finds on its disk, and after a first start.
@@ -49,6 +49,7 @@
         folder: &Path,
         disk_mb: u64,
         first_value: Option<Value<Directory>>,
+        mode: WorkerMode,
     ) -> Result<Opened, RingFault> {
         let disk_bytes = disk_mb.max(16) * 1024 * 1024;
         let file_length = (disk_bytes / (FILES as u64 + 1)).min(MOST_FILE_LENGTH);
@@ -80,10 +81,9 @@
             acceptor.recover(vote);
         }
         let group = acceptor.accepted().map(|(_, value)| value.previous_group.clone());
-        let (writes, queue) = mpsc::channel();
         let mut writer = Writer { ring, disk: number, promise: acceptor.promised(), accepted: None };
         writer.accepted = acceptor.accepted().cloned();
-        std::thread::spawn(move || writer.run(&queue));
+        let writes = Worker::start(mode, move |batch| writer.work(batch));
         Ok(Opened { voter: Voter { acceptor: RefCell::new(acceptor), writes }, group })
     }
 
@@ -112,7 +112,7 @@
         let handled = self.acceptor.borrow_mut().handle(request);
         if let Some(vote) = handled.write {
             let (done, written) = oneshot::channel();
-            self.writes.send(Write { vote, done }).ok()?;
+            self.writes.order(Write { vote, done });
             written.await.ok()?;
         }
         Some(handled.reply)
@@ -135,18 +135,14 @@
 }
 
 impl Writer {
-    fn run(&mut self, queue: &mpsc::Receiver<Write>) {
-        while let Ok(first) = queue.recv() {
-            let mut writes = vec![first];
-            writes.extend(queue.try_iter());
-            match self.write(&writes) {
-                Ok(()) => {
-                    for write in writes {
-                        let _ = write.done.send(());
-                    }
+    fn work(&mut self, writes: Vec<Write>) {
+        match self.write(&writes) {
+            Ok(()) => {
+                for write in writes {
+                    let _ = write.done.send(());
                 }
-                Err(fault) => error!("a vote could not be written: {fault}"),
             }
+            Err(fault) => error!("a vote could not be written: {fault}"),
         }
     }
 
--- a/tier/proxy/src/front.rs
+++ b/tier/proxy/src/front.rs
@@ -8,10 +8,9 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info};
-use pointcross_tier_runtime::socket;
+use pointcross_tier_runtime::network::{Listener, Stream};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
@@ -29,7 +28,7 @@
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// Serves clients for ever.
-pub async fn serve(proxy: Rc<Proxy>, listener: TcpListener) {
+pub async fn serve(proxy: Rc<Proxy>, mut listener: Box<dyn Listener>) {
     let max_fds = proxy.settings.limits.max_fds;
     let most = max_fds.saturating_sub(OTHER_DESCRIPTORS).max(max_fds / 2);
     let mut closing = proxy.closing.subscribe();
@@ -38,12 +37,12 @@
             accepted = listener.accept() => accepted,
             _ = closing.wait_for(|closing| *closing) => return,
         };
-        let Ok((stream, _)) = accepted else {
+        let Ok(stream) = accepted else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let open = &proxy.open_connections;
-        if open.get() >= most || socket::prepare(&stream).is_err() {
+        if open.get() >= most {
             continue;
         }
         open.set(open.get() + 1);
@@ -55,7 +54,7 @@
     }
 }
 
-async fn serve_connection(proxy: Rc<Proxy>, stream: TcpStream) {
+async fn serve_connection(proxy: Rc<Proxy>, stream: Stream) {
     let limits = proxy.table.borrow().as_ref().map(|table| table.limits().clone()).unwrap_or_default();
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
--- a/tier/proxy/src/lib.rs
+++ b/tier/proxy/src/lib.rs
@@ -17,8 +17,9 @@
 
 use log::info;
 use pointcross_tier_protocol::settings::{Settings, SettingsFault};
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::follow_feed;
-use pointcross_tier_runtime::{process, socket};
+use pointcross_tier_runtime::process::{self, Stop};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
 use tokio::task::spawn_local;
@@ -49,26 +50,27 @@
 }
 
 /// Serves until SIGTERM, and then until what was taken is finished.
-pub async fn run(settings: Settings) -> Result<(), ProxyFault> {
+pub async fn run(settings: Settings, environment: Environment, stop: Stop) -> Result<(), ProxyFault> {
     let missing = |key| SettingsFault::Missing { key, role: "proxy" };
     let addresses = &settings.listen_addrs;
     let front_address =
         addresses.front_addr.ok_or_else(|| missing("ListenAddrs.FrontAddr")).context(SettingsSnafu)?;
     let ready_address =
         addresses.ready_addr.ok_or_else(|| missing("ListenAddrs.ReadyAddr")).context(SettingsSnafu)?;
-    let front = socket::listen(front_address).context(ListenSnafu { address: front_address })?;
-    let ready = socket::listen(ready_address).context(ListenSnafu { address: ready_address })?;
+    let network = &environment.network;
+    let front = network.listen(front_address).context(ListenSnafu { address: front_address })?;
+    let ready = network.listen(ready_address).context(ListenSnafu { address: ready_address })?;
     let feed = settings.feed_address();
     let grace = settings.drain_grace();
-    let proxy = proxy::Proxy::new(settings);
-    spawn_local(follow_feed(proxy.shared.clone(), feed));
+    let proxy = proxy::Proxy::new(settings, environment.clone());
+    spawn_local(follow_feed(environment, proxy.shared.clone(), feed));
     spawn_local(proxy::follow_view(proxy.clone()));
     spawn_local(proxy::tidy(proxy.clone()));
     spawn_local(ready::serve(proxy.clone(), ready));
     spawn_local(front::serve(proxy.clone(), front));
     spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
     info!("serving on {front_address}");
-    process::told_to_stop().await.context(SignalsSnafu)?;
+    stop.await.context(SignalsSnafu)?;
     front::drain(&proxy, grace).await;
     Ok(())
 }
--- a/tier/proxy/src/proxy.rs
+++ b/tier/proxy/src/proxy.rs
@@ -7,6 +7,7 @@
 use log::{info, warn};
 use pointcross_tier_protocol::{Configuration, Settings};
 use pointcross_tier_routing::{RouteTable, Servers};
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::SharedView;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -48,16 +49,16 @@
 
 impl Proxy {
     /// A proxy that knows nothing yet.
-    pub fn new(settings: Settings) -> Rc<Self> {
+    pub fn new(settings: Settings, environment: Environment) -> Rc<Self> {
         let shared = SharedView::new();
         let cache_bytes = settings.limits.memory_mb as usize * 1024 * 1024 / CACHE_PART;
         Rc::new(Proxy {
             shared: shared.clone(),
             table: RefCell::default(),
             servers: RefCell::new(Servers::new(&settings.zone)),
-            pool: Pool::default(),
+            pool: Pool::new(&environment),
             queues: Queues::default(),
-            stores: Stores::new(shared, &settings),
+            stores: Stores::new(&environment, shared, &settings),
             chains: RefCell::new(ChainCache::new(cache_bytes)),
             draining: Cell::new(false),
             closing: watch::channel(false).0,
--- a/tier/proxy/src/ready.rs
+++ b/tier/proxy/src/ready.rs
@@ -7,11 +7,10 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use pointcross_tier_runtime::socket;
+use pointcross_tier_runtime::network::Listener;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 
 /// A connection of the platform is closed after so long without a request.
@@ -20,15 +19,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Answers for ever.
-pub async fn serve(proxy: Rc<Proxy>, listener: TcpListener) {
+pub async fn serve(proxy: Rc<Proxy>, mut listener: Box<dyn Listener>) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(stream) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if socket::prepare(&stream).is_err() {
-            continue;
-        }
         let proxy = proxy.clone();
         spawn_local(async move {
             let service = service_fn(move |request: Request<Incoming>| {
--- a/tier/proxy/src/stores.rs
+++ b/tier/proxy/src/stores.rs
@@ -3,6 +3,7 @@
 use log::debug;
 use pointcross_tier_protocol::messages::{StoreCall, StoreReply};
 use pointcross_tier_protocol::{Directory, Settings, StoreEntry};
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::SharedView;
 use pointcross_tier_runtime::rpc::Peer;
 use std::cell::RefCell;
@@ -20,6 +21,7 @@
 
 /// The stores, as this proxy reaches them.
 pub struct Stores {
+    environment: Environment,
     shared: Rc<SharedView>,
     /// This proxy's zone.
     pub zone: String,
@@ -33,8 +35,9 @@
 
 impl Stores {
     /// The stores that the directory lists.
-    pub fn new(shared: Rc<SharedView>, settings: &Settings) -> Self {
+    pub fn new(environment: &Environment, shared: Rc<SharedView>, settings: &Settings) -> Self {
         Stores {
+            environment: environment.clone(),
             shared,
             zone: settings.zone.clone(),
             copies: settings.fault_tolerance.copies(),
@@ -54,7 +57,7 @@
         if peers.len() > MOST_PEERS {
             peers.clear();
         }
-        peers.entry(address).or_insert_with(|| Peer::new(address)).clone()
+        peers.entry(address).or_insert_with(|| Peer::new(&self.environment, address)).clone()
     }
 
     /// Calls a store; `None` where no answer came in time.
--- a/tier/proxy/src/upstream/connection.rs
+++ b/tier/proxy/src/upstream/connection.rs
@@ -3,10 +3,10 @@
 use bytes::{Buf, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use pointcross_tier_protocol::headers::ATTEMPT_ID;
+use pointcross_tier_runtime::network::{Stream, nothing_came};
 use std::io::Write as _;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// The longest head of an answer.
@@ -63,7 +63,7 @@
 
 /// A connection to a server.
 pub struct Connection {
-    stream: TcpStream,
+    stream: Stream,
     buffer: BytesMut,
     framing: Framing,
     close: bool,
@@ -72,7 +72,7 @@
 }
 
 impl Connection {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(super) fn new(stream: Stream) -> Self {
         Connection {
             stream,
             buffer: BytesMut::new(),
@@ -84,13 +84,8 @@
     }
 
     /// Whether a kept connection may be used: it has not rested for long, and nothing came on it.
-    pub(super) fn is_sound(&self) -> bool {
-        let mut byte = [0];
-        let nothing_came = matches!(
-            self.stream.try_read(&mut byte),
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock
-        );
-        nothing_came && self.rests_since.elapsed() < self.rest_for
+    pub(super) fn is_sound(&mut self) -> bool {
+        nothing_came(&mut self.stream) && self.rests_since.elapsed() < self.rest_for
     }
 
     /// Whether the connection may be kept after its answer.
--- a/tier/proxy/src/upstream/pool.rs
+++ b/tier/proxy/src/upstream/pool.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{AttemptFault, Connection};
 use pointcross_tier_protocol::Instance;
-use pointcross_tier_runtime::socket;
+use pointcross_tier_runtime::environment::Environment;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -11,17 +11,22 @@
 const MOST_KEPT: usize = 6;
 
 /// Kept connections.
-#[derive(Default)]
 pub struct Pool {
+    environment: Environment,
     kept: RefCell<HashMap<String, Vec<Connection>>>,
 }
 
 impl Pool {
+    /// No connections yet.
+    pub fn new(environment: &Environment) -> Self {
+        Pool { environment: environment.clone(), kept: RefCell::default() }
+    }
+
     /// A sound kept connection to this instance.
     pub fn take(&self, id: &str) -> Option<Connection> {
         let mut kept = self.kept.borrow_mut();
         let connections = kept.get_mut(id)?;
-        while let Some(connection) = connections.pop() {
+        while let Some(mut connection) = connections.pop() {
             if connection.is_sound() {
                 return Some(connection);
             }
@@ -31,7 +36,7 @@
 
     /// A new connection to this instance.
     pub async fn connect(&self, instance: &Instance, within: Duration) -> Result<Connection, AttemptFault> {
-        let stream = socket::connect(instance.address, within).await;
+        let stream = self.environment.network.connect(instance.address, within).await;
         stream.map(Connection::new).map_err(|_| AttemptFault::NoConnection)
     }
 
@@ -50,7 +55,7 @@
     /// Closes connections that have rested too long, or on which something came unasked.
     pub fn close_rested(&self) {
         self.kept.borrow_mut().retain(|_, connections| {
-            connections.retain(Connection::is_sound);
+            connections.retain_mut(Connection::is_sound);
             !connections.is_empty()
         });
     }
--- a/tier/runtime/src/follow.rs
+++ b/tier/runtime/src/follow.rs
@@ -1,5 +1,6 @@
 //! Following the control plane, or the agent that does: long polls with what is known already.
 
+use crate::environment::Environment;
 use crate::random;
 use crate::rpc::Peer;
 use log::{debug, info};
@@ -72,11 +73,16 @@
 }
 
 /// Follows one process for ever; `choose` names it anew after each failure.
-async fn follow_one(shared: Rc<SharedView>, mut choose: impl FnMut() -> Option<SocketAddrV4>) {
+async fn follow_one(
+    environment: Environment,
+    shared: Rc<SharedView>,
+    mut choose: impl FnMut() -> Option<SocketAddrV4>,
+) {
     let mut peer: Option<Rc<Peer>> = None;
     let mut position = FeedPosition::default();
     loop {
-        let Some(current) = peer.clone().or_else(|| choose().map(Peer::new)) else {
+        let Some(current) = peer.clone().or_else(|| choose().map(|address| Peer::new(&environment, address)))
+        else {
             tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             continue;
         };
@@ -114,7 +120,7 @@
 }
 
 /// Follows the control plane for ever, two members at a time so that one may fall silent unnoticed.
-pub async fn follow_members(shared: Rc<SharedView>, seeds: Vec<SocketAddrV4>) {
+pub async fn follow_members(environment: Environment, shared: Rc<SharedView>, seeds: Vec<SocketAddrV4>) {
     let followed: Rc<RefCell<BTreeMap<usize, SocketAddrV4>>> = Rc::default();
     let chooser = |index: usize| {
         let (shared, seeds, followed) = (shared.clone(), seeds.clone(), followed.clone());
@@ -138,12 +144,12 @@
             Some(chosen)
         }
     };
-    let first = follow_one(shared.clone(), chooser(0));
-    let second = follow_one(shared.clone(), chooser(1));
+    let first = follow_one(environment.clone(), shared.clone(), chooser(0));
+    let second = follow_one(environment, shared.clone(), chooser(1));
     tokio::join!(first, second);
 }
 
 /// Follows one process at a fixed address for ever.
-pub async fn follow_feed(shared: Rc<SharedView>, address: SocketAddrV4) {
-    follow_one(shared, move || Some(address)).await;
+pub async fn follow_feed(environment: Environment, shared: Rc<SharedView>, address: SocketAddrV4) {
+    follow_one(environment, shared, move || Some(address)).await;
 }
--- a/tier/runtime/src/lib.rs
+++ b/tier/runtime/src/lib.rs
@@ -5,9 +5,12 @@
 //! state is shared without locks.
 #![warn(missing_docs)]
 
+pub mod environment;
 pub mod follow;
 pub mod log;
+pub mod network;
 pub mod process;
 pub mod random;
 pub mod rpc;
 pub mod socket;
+pub mod worker;
--- a/tier/runtime/src/process.rs
+++ b/tier/runtime/src/process.rs
@@ -2,6 +2,7 @@
 
 use log::{info, warn};
 use std::future::Future;
+use std::pin::Pin;
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Descriptors that stay free of connections: files, and what the runtime needs.
@@ -30,6 +31,9 @@
     Ok(local.block_on(&runtime, main))
 }
 
+/// Ends when the process is to stop.
+pub type Stop = Pin<Box<dyn Future<Output = std::io::Result<()>>>>;
+
 /// Waits for SIGTERM or an interrupt.
 pub async fn told_to_stop() -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/tier/runtime/src/random.rs
+++ b/tier/runtime/src/random.rs
@@ -8,6 +8,16 @@
     static STATE: Cell<u64> = Cell::new(RandomState::new().build_hasher().finish() | 1);
 }
 
+thread_local! {
+    static SEEDED: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Makes this thread's random numbers the same each time: for tests.
+pub fn seed(seed: u64) {
+    SEEDED.set(true);
+    STATE.set(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+}
+
 /// A random number; never 0.
 pub fn number() -> u64 {
     STATE.with(|state| {
@@ -29,6 +39,9 @@
 /// hasher's keys may be alike in processes that start alike.
 pub fn unique() -> u64 {
     use std::io::Read;
+    if SEEDED.get() {
+        return number();
+    }
     let mut bytes = [0; 8];
     let read = std::fs::File::open("/dev/urandom").and_then(|mut file| file.read_exact(&mut bytes));
     match read {
--- a/tier/runtime/src/rpc.rs
+++ b/tier/runtime/src/rpc.rs
@@ -3,7 +3,8 @@
 //! A frame is its length (4 bytes), the call's number (8 bytes) and the CBOR body, little endian. A reply has the
 //! number of its call. A connection with a frame that can't be read is closed.
 
-use crate::socket;
+use crate::environment::Environment;
+use crate::network::{Listener, Stream};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -15,9 +16,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{AbortHandle, spawn_local};
 
@@ -89,12 +88,12 @@
 
 /// Reads frames off a connection.
 struct FrameReader {
-    half: OwnedReadHalf,
+    half: ReadHalf<Stream>,
     buffer: BytesMut,
 }
 
 impl FrameReader {
-    fn new(half: OwnedReadHalf) -> Self {
+    fn new(half: ReadHalf<Stream>) -> Self {
         FrameReader { half, buffer: BytesMut::new() }
     }
 
@@ -130,7 +129,7 @@
 }
 
 /// Writes frames until the senders are gone or the connection breaks.
-async fn write_frames(mut half: OwnedWriteHalf, mut frames: mpsc::UnboundedReceiver<Bytes>) {
+async fn write_frames(mut half: WriteHalf<Stream>, mut frames: mpsc::UnboundedReceiver<Bytes>) {
     let mut together = BytesMut::new();
     while let Some(first) = frames.recv().await {
         together.extend_from_slice(&first);
@@ -145,7 +144,7 @@
 }
 
 /// Serves calls on this listener, each by a run of `handler`. Ends never.
-pub async fn serve<Call, Reply, Handler, Running>(listener: TcpListener, handler: Handler)
+pub async fn serve<Call, Reply, Handler, Running>(mut listener: Box<dyn Listener>, handler: Handler)
 where
     Call: DeserializeOwned + 'static,
     Reply: Serialize + 'static,
@@ -155,11 +154,11 @@
     let handler = Rc::new(handler);
     let open = Rc::new(Cell::new(0));
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok(stream) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if open.get() >= MOST_CONNECTIONS || socket::prepare(&stream).is_err() {
+        if open.get() >= MOST_CONNECTIONS {
             continue;
         }
         open.set(open.get() + 1);
@@ -171,14 +170,14 @@
     }
 }
 
-async fn serve_connection<Call, Reply, Handler, Running>(stream: TcpStream, handler: Rc<Handler>)
+async fn serve_connection<Call, Reply, Handler, Running>(stream: Stream, handler: Rc<Handler>)
 where
     Call: DeserializeOwned + 'static,
     Reply: Serialize + 'static,
     Handler: Fn(Call) -> Running + 'static,
     Running: Future<Output = Option<Reply>> + 'static,
 {
-    let (read, write) = stream.into_split();
+    let (read, write) = tokio::io::split(stream);
     let mut reader = FrameReader::new(read);
     let (replies, queue) = mpsc::unbounded_channel();
     let writer = spawn_local(write_frames(write, queue));
@@ -242,6 +241,7 @@
 
 /// A callee. Its connection is opened when it is first needed, and again after it broke.
 pub struct Peer {
+    environment: Environment,
     address: SocketAddrV4,
     connection: RefCell<Option<Rc<Connection>>>,
     next_number: Cell<u64>,
@@ -249,8 +249,9 @@
 
 impl Peer {
     /// A callee at this address.
-    pub fn new(address: SocketAddrV4) -> Rc<Self> {
-        Rc::new(Peer { address, connection: RefCell::default(), next_number: Cell::new(1) })
+    pub fn new(environment: &Environment, address: SocketAddrV4) -> Rc<Self> {
+        let environment = environment.clone();
+        Rc::new(Peer { environment, address, connection: RefCell::default(), next_number: Cell::new(1) })
     }
 
     /// Its address.
@@ -305,7 +306,10 @@
             return Ok(connection.clone());
         }
         let address = self.address;
-        let stream = socket::connect(address, within.min(CONNECT_WITHIN))
+        let stream = self
+            .environment
+            .network
+            .connect(address, within.min(CONNECT_WITHIN))
             .await
             .map_err(|source| CallFault::NoConnection { address, source })?;
         // Another call may have connected meanwhile.
@@ -318,8 +322,8 @@
     }
 }
 
-fn open(stream: TcpStream) -> Connection {
-    let (read, write) = stream.into_split();
+fn open(stream: Stream) -> Connection {
+    let (read, write) = tokio::io::split(stream);
     let (frames, queue) = mpsc::unbounded_channel();
     let waiting = Waiting::default();
     let replies = Rc::new(Cell::new(0));
@@ -329,7 +333,7 @@
 }
 
 /// Hands replies to the calls that wait for them; at the end those that still wait learn that it broke.
-async fn read_replies(read: OwnedReadHalf, waiting: Waiting, replies: Rc<Cell<u64>>) {
+async fn read_replies(read: ReadHalf<Stream>, waiting: Waiting, replies: Rc<Cell<u64>>) {
     let mut reader = FrameReader::new(read);
     while let Ok(Some((number, body))) = reader.next().await {
         replies.set(replies.get() + 1);
--- /dev/null
+++ b/tier/simulation/src/cluster.rs
@@ -0,0 +1,329 @@
+//! A deployment: three control members, three stores, two proxies with their agents.
+
+use crate::client::{self, Reply};
+use crate::network::World;
+use crate::timeline::Timeline;
+use bytes::Bytes;
+use http::Request;
+use pointcross_tier_protocol::Settings;
+use pointcross_tier_runtime::environment::{DayClock, Environment};
+use pointcross_tier_runtime::network::Network;
+use pointcross_tier_runtime::process::Stop;
+use pointcross_tier_runtime::random;
+use pointcross_tier_runtime::worker::WorkerMode;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::sync::oneshot;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::Instant;
+
+const CONTROL_PORT: u16 = 7000;
+const FRONT_PORT: u16 = 7001;
+const READY_PORT: u16 = 7002;
+const FIRST_FREE_PORT: u16 = 7100;
+const LAST_FREE_PORT: u16 = 7115;
+/// A sync of a disk.
+const SYNC: Duration = Duration::from_millis(5);
+/// How long a caller from outside waits.
+const CALL_WITHIN: Duration = Duration::from_secs(5);
+
+/// The only service.
+pub const SERVICE: &str = "engine";
+
+/// The routes of a sample configuration: one whose turns are kept, one whose are not.
+pub const ROUTES: &str = r#""Routes":[
+    {"Name":"kept","Host":"tier.example","PathPrefix":"/kept/","RouteType":"streaming","TimeoutMs":5000,
+     "TargetMs":250,"Priority":0,"Service":"engine","MaxAttempts":2,"Retained":true,"RetentionS":60.0},
+    {"Name":"plain","Host":"tier.example","PathPrefix":"/plain/","RouteType":"streaming","TimeoutMs":5000,
+     "TargetMs":250,"Priority":1,"Service":"engine","MaxAttempts":2}],
+  "Services":[{"Name":"engine","HealthPath":"/health","MaxConns":230,
+    "Engine":{"Capacity":8,"KvTokens":100000,"Stride":1}}]"#;
+
+/// Runs a scenario in virtual time, in one thread, with random numbers from this seed.
+pub fn run<T>(seed: u64, scenario: impl Future<Output = T>) -> T {
+    random::seed(seed);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .start_paused(true)
+        .build()
+        .expect("a runtime starts");
+    LocalSet::new().block_on(&runtime, scenario)
+}
+
+struct Machine {
+    class: &'static str,
+    host: Ipv4Addr,
+    folder: TempDir,
+    bootstrap: bool,
+    processes: Vec<(JoinHandle<()>, Option<oneshot::Sender<()>>)>,
+}
+
+/// A deployment.
+pub struct Cluster {
+    /// Its network.
+    pub world: World,
+    /// What happened.
+    pub timeline: Timeline,
+    begun: Instant,
+    seeds: Vec<SocketAddrV4>,
+    machines: BTreeMap<String, Machine>,
+    outside: Rc<dyn Network>,
+}
+
+fn host(class: &str, number: u8) -> Ipv4Addr {
+    let net = match class {
+        "core" => 1,
+        "storage" => 2,
+        _ => 3,
+    };
+    Ipv4Addr::new(10, net, 0, number)
+}
+
+impl Cluster {
+    /// Starts a deployment for the first time.
+    pub fn start() -> Self {
+        let world = World::new();
+        let seeds = (1..=3).map(|number| SocketAddrV4::new(host("core", number), CONTROL_PORT)).collect();
+        let outside = world.network(Ipv4Addr::new(10, 9, 0, 1));
+        let mut cluster = Cluster {
+            world,
+            timeline: Timeline::new(),
+            begun: Instant::now(),
+            seeds,
+            machines: BTreeMap::new(),
+            outside,
+        };
+        for number in 1..=3 {
+            cluster.add("core", number, true);
+            cluster.add("storage", number, true);
+        }
+        for number in 1..=2 {
+            cluster.add("front", number, true);
+        }
+        cluster
+    }
+
+    /// Adds a machine and starts it.
+    pub fn add(&mut self, class: &'static str, number: u8, bootstrap: bool) {
+        let name = format!("{class}-{number}");
+        let folder = tempfile::tempdir().expect("a folder for a disk");
+        let machine = Machine { class, host: host(class, number), folder, bootstrap, processes: Vec::new() };
+        self.machines.insert(name.clone(), machine);
+        self.start_machine(&name);
+    }
+
+    fn settings(&self, name: &str) -> Settings {
+        let machine = &self.machines[name];
+        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let zone = name.rsplit('-').next().unwrap_or_default();
+        let text = format!(
+            "Node = \"{name}\"\nBindIp = \"{host}\"\nZone = \"zone-{zone}\"\n\
+             PortRange = [{FIRST_FREE_PORT},{LAST_FREE_PORT}]\nSeedNodes = [{seeds}]\nBootstrap = {bootstrap}\n\
+             DataDir = \"{folder}\"\nHeartbeatMs = 1000\n[ListenAddrs]\nFrontAddr = \"{host}:{FRONT_PORT}\"\n\
+             ReadyAddr = \"{host}:{READY_PORT}\"\nControlAddr = \"{host}:{CONTROL_PORT}\"\n\
+             [Limits]\nMemoryMb = 256\nMaxFds = 4096\nDiskMb = 64\n[FaultTolerance]\nMachines = 1\n",
+            host = machine.host,
+            seeds = seeds.join(","),
+            bootstrap = machine.bootstrap,
+            folder = machine.folder.path().display(),
+        );
+        Settings::from_text(&text, Path::new(name)).expect("valid settings")
+    }
+
+    fn start_machine(&mut self, name: &str) {
+        let settings = self.settings(name);
+        let machine = self.machines.get_mut(name).expect("a machine of the cluster");
+        let environment = Environment {
+            network: self.world.network(machine.host),
+            worker_mode: WorkerMode::Inline(SYNC),
+            day_clock: DayClock::Counted { from_ms: 1_700_000_000_000, since: self.begun },
+        };
+        self.world.set_dark(machine.host, false);
+        let processes = match machine.class {
+            "core" => vec![spawn_process(|stop| async move {
+                pointcross_tier_control::run(settings, environment, stop).await.expect("control serves");
+            })],
+            "storage" => vec![spawn_process(|stop| async move {
+                pointcross_tier_store::run(settings, environment, stop).await.expect("the store serves");
+            })],
+            _ => {
+                let (for_agent, agent_environment) = (settings.clone(), environment.clone());
+                vec![
+                    spawn_process(|stop| async move {
+                        let served = pointcross_tier_agent::run(for_agent, agent_environment, stop);
+                        served.await.expect("the agent serves");
+                    }),
+                    spawn_process(|stop| async move {
+                        let served = pointcross_tier_proxy::run(settings, environment, stop);
+                        served.await.expect("the proxy serves");
+                    }),
+                ]
+            }
+        };
+        machine.processes = processes;
+        machine.bootstrap = false;
+        self.timeline.note(name, "starts");
+    }
+
+    fn end_processes(&mut self, name: &str) {
+        let machine = self.machines.get_mut(name).expect("a machine of the cluster");
+        for (process, _) in machine.processes.drain(..) {
+            process.abort();
+        }
+    }
+
+    /// Kills a machine's processes: their connections close.
+    pub fn kill(&mut self, name: &str) {
+        self.end_processes(name);
+        self.timeline.note(name, "is killed");
+    }
+
+    /// Takes a machine's power away: its connections hang.
+    pub fn power_off(&mut self, name: &str) {
+        self.world.set_dark(self.machines[name].host, true);
+        self.end_processes(name);
+        self.timeline.note(name, "loses power");
+    }
+
+    /// Starts a machine again, with the disk that it had.
+    pub fn restart(&mut self, name: &str) {
+        self.start_machine(name);
+    }
+
+    /// Takes a machine's power and its disk away, and starts it again with an empty one.
+    pub fn wipe(&mut self, name: &str) {
+        self.end_processes(name);
+        let machine = self.machines.get_mut(name).expect("a machine of the cluster");
+        machine.folder = tempfile::tempdir().expect("a folder for a disk");
+        self.timeline.note(name, "loses its disk");
+        self.start_machine(name);
+    }
+
+    /// Tells a machine's processes to stop.
+    pub fn terminate(&mut self, name: &str) {
+        let machine = self.machines.get_mut(name).expect("a machine of the cluster");
+        for (_, stop) in &mut machine.processes {
+            if let Some(stop) = stop.take() {
+                let _ = stop.send(());
+            }
+        }
+        self.timeline.note(name, "is told to stop");
+    }
+
+    /// A machine's address.
+    pub fn host(&self, name: &str) -> Ipv4Addr {
+        self.machines[name].host
+    }
+
+    /// The control addresses of the first members.
+    pub fn control_addresses(&self) -> Vec<SocketAddrV4> {
+        self.seeds.clone()
+    }
+
+    /// Lets virtual time pass.
+    pub async fn pass(&self, time: Duration) {
+        tokio::time::sleep(time).await;
+    }
+
+    /// Calls a machine's control address as the operator.
+    pub async fn control(&self, name: &str, request: Request<Bytes>) -> Option<Reply> {
+        let address = SocketAddrV4::new(self.machines[name].host, CONTROL_PORT);
+        client::call(&self.outside, address, request, CALL_WITHIN).await
+    }
+
+    /// Sends a configuration with the sample routes to one member. Gives the status of its answer.
+    pub async fn configure(&self, name: &str, base: u64, version: u64) -> Option<u16> {
+        let body = format!("{{\"Version\":{version},{ROUTES}}}");
+        let request = Request::post("/pointcross/Configuration.Replace")
+            .header("x-base-version", base)
+            .body(Bytes::from(body))
+            .expect("a valid request");
+        let status = self.control(name, request).await.map(|reply| reply.status.as_u16());
+        let told = status.map_or("no answer".to_owned(), |status| status.to_string());
+        self.timeline.note(name, format!("{version} on {base}: {told}"));
+        status
+    }
+
+    /// Sends a request to a proxy as a program.
+    pub async fn request(&self, name: &str, request: Request<Bytes>) -> Option<Reply> {
+        let address = SocketAddrV4::new(self.machines[name].host, FRONT_PORT);
+        client::call(&self.outside, address, request, CALL_WITHIN).await
+    }
+
+    /// Takes a turn at a proxy, and notes it.
+    pub async fn turn(&self, name: &str, turn: &Turn<'_>) -> Option<Reply> {
+        let reply = self.request(name, turn.request()).await;
+        let told = match &reply {
+            Some(reply) if reply.whole => reply.status.as_u16().to_string(),
+            Some(reply) => format!("{} cut short", reply.status.as_u16()),
+            None => "no answer".to_owned(),
+        };
+        let after = turn.previous.map_or(String::new(), |previous| format!(" after {previous}"));
+        self.timeline.note(name, format!("turn {}{after}: {told}", turn.id));
+        reply
+    }
+}
+
+/// A program's turn.
+#[derive(Clone, Debug)]
+pub struct Turn<'a> {
+    /// The try's id.
+    pub id: &'a str,
+    /// The program.
+    pub program: &'a str,
+    /// The turn before.
+    pub previous: Option<&'a str>,
+    /// The input.
+    pub input: &'a str,
+    /// The program's budget.
+    pub budget: Option<u64>,
+    /// The most that it generates.
+    pub most: u64,
+    /// Whether what is said is kept.
+    pub kept: bool,
+}
+
+impl Turn<'_> {
+    /// The request that takes it.
+    pub fn request(&self) -> Request<Bytes> {
+        let path = if self.kept { "/kept/turn" } else { "/plain/turn" };
+        let mut request = Request::post(path)
+            .header("host", "tier.example")
+            .header("x-attempt-id", self.id)
+            .header("program", self.program)
+            .header("session", "s1")
+            .header("x-token-usage", format!("10,{}", self.most))
+            .header("x-request-deadline", "4000");
+        if let Some(previous) = self.previous {
+            request = request.header("previous", previous);
+        }
+        if let Some(budget) = self.budget {
+            request = request.header("budget", budget);
+        }
+        request.body(Bytes::copy_from_slice(self.input.as_bytes())).expect("a valid request")
+    }
+}
+
+/// Runs a process in a set of tasks of its own, so that all of them end with it.
+fn spawn_process<Running>(main: impl FnOnce(Stop) -> Running) -> (JoinHandle<()>, Option<oneshot::Sender<()>>)
+where
+    Running: Future<Output = ()> + 'static,
+{
+    let (sender, receiver) = oneshot::channel();
+    let stop: Stop = Box::pin(async move {
+        if receiver.await.is_err() {
+            std::future::pending::<()>().await;
+        }
+        Ok(())
+    });
+    let running = main(stop);
+    let process = spawn_local(async move {
+        LocalSet::new().run_until(running).await;
+    });
+    (process, Some(sender))
+}
--- /dev/null
+++ b/tier/simulation/src/lib.rs
@@ -0,0 +1,17 @@
+//! The serving tier's processes together in virtual time, in one thread: the programs' own code, on a network that
+//! is cut, silent and slow on order, with disks that are lost, before emulated model schedulers.
+//!
+//! [`Cluster`] starts and ends processes; [`World`] is the network; [`Engine`] is an emulated model scheduler that
+//! keeps a ledger of what it ran; [`client`] speaks to the tier as programs and operators do.
+#![warn(missing_docs)]
+
+pub mod client;
+mod cluster;
+mod engine;
+mod network;
+mod timeline;
+
+pub use cluster::{Cluster, ROUTES, SERVICE, Turn, run};
+pub use engine::{Engine, RanRequest};
+pub use network::World;
+pub use timeline::Timeline;
--- a/tier/store/src/announce.rs
+++ b/tier/store/src/announce.rs
@@ -65,7 +65,7 @@
         members = store.settings.seed_addresses(InternalPort::Control);
     }
     let member = members[random::below(members.len() as u64) as usize];
-    match Peer::new(member).call::<ControlReply>(call, ANSWER_WITHIN).await {
+    match Peer::new(&store.environment, member).call::<ControlReply>(call, ANSWER_WITHIN).await {
         Ok(ControlReply::Done) => true,
         Ok(_) => false,
         Err(fault) => {
--- a/tier/store/src/disk.rs
+++ b/tier/store/src/disk.rs
@@ -8,11 +8,11 @@
 use pointcross_tier_protocol::StoreId;
 use pointcross_tier_protocol::turns::{Reservation, TurnRecord};
 use pointcross_tier_runtime::rpc;
+use pointcross_tier_runtime::worker::{Worker, WorkerMode};
 use pointcross_tier_storage::{Location, RecoveredRecord, Ring, RingFault, RingLayout};
 use serde::{Deserialize, Serialize};
 use std::path::Path;
-use std::sync::mpsc;
-use tokio::sync::{mpsc as async_mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 
 /// Files of the ring.
 const FILES: u64 = 8;
@@ -69,7 +69,7 @@
 
 /// The disk's thread, as the store sees it.
 pub struct Disk {
-    orders: mpsc::Sender<Order>,
+    orders: Worker<Order>,
     /// Bytes of records that can be in use at once.
     pub room: usize,
 }
@@ -81,23 +81,22 @@
     /// The records, oldest first, each with its file's generation.
     pub records: Vec<(u64, Record)>,
     /// Each generation that the ring overwrites next: it has to be cleared.
-    pub overwritten_next: async_mpsc::UnboundedReceiver<u64>,
+    pub overwritten_next: mpsc::UnboundedReceiver<u64>,
 }
 
 impl Disk {
     /// Opens the ring in this folder.
-    pub fn open(folder: &Path, disk_mb: u64) -> Result<Opened, RingFault> {
+    pub fn open(folder: &Path, disk_mb: u64, mode: WorkerMode) -> Result<Opened, RingFault> {
         let bytes = disk_mb.max(16) * 1024 * 1024 / 100 * DISK_PART;
         let file_length = (bytes / FILES).min(MOST_FILE_LENGTH);
         let recovered = Ring::open(folder, RingLayout { files: FILES as usize, file_length })?;
         let records = recovered.records.iter().filter_map(read).collect();
-        let (orders, queue) = mpsc::channel();
-        let (announcements, overwritten_next) = async_mpsc::unbounded_channel();
+        let (announcements, overwritten_next) = mpsc::unbounded_channel();
         if let Some(next) = recovered.ring.next_overwritten() {
             let _ = announcements.send(next.generation);
         }
-        let writer = Writer { ring: recovered.ring, announcements, cleared: 0 };
-        std::thread::spawn(move || writer.run(&queue));
+        let mut writer = Writer { ring: recovered.ring, announcements, cleared: 0 };
+        let orders = Worker::start(mode, move |batch| writer.work(batch));
         // Two files stay free of what is in use: the one that is written, and the one before it is overwritten.
         let room = (file_length * (FILES - 3)) as usize;
         Ok(Opened { disk: Disk { orders, room }, records, overwritten_next })
@@ -106,13 +105,13 @@
     /// Writes a record; the receiver hears where it stands once it is safe, or `None` where it can't be.
     pub fn write(&self, record: &Record) -> oneshot::Receiver<Option<Location>> {
         let (done, written) = oneshot::channel();
-        let _ = self.orders.send(Order::Write(Write { body: rpc::encode(record), done }));
+        self.orders.order(Order::Write(Write { body: rpc::encode(record), done }));
         written
     }
 
     /// Nothing of this generation, or of those before it, is needed any longer.
     pub fn clear(&self, generation: u64) {
-        let _ = self.orders.send(Order::Clear(generation));
+        self.orders.order(Order::Clear(generation));
     }
 }
 
@@ -128,23 +127,21 @@
 
 struct Writer {
     ring: Ring,
-    announcements: async_mpsc::UnboundedSender<u64>,
+    announcements: mpsc::UnboundedSender<u64>,
     /// The newest generation that may be overwritten.
     cleared: u64,
 }
 
 impl Writer {
-    fn run(mut self, queue: &mpsc::Receiver<Order>) {
-        while let Ok(first) = queue.recv() {
-            let mut writes = Vec::new();
-            for order in std::iter::once(first).chain(queue.try_iter()) {
-                match order {
-                    Order::Clear(generation) => self.cleared = self.cleared.max(generation),
-                    Order::Write(write) => writes.push(write),
-                }
+    fn work(&mut self, orders: Vec<Order>) {
+        let mut writes = Vec::new();
+        for order in orders {
+            match order {
+                Order::Clear(generation) => self.cleared = self.cleared.max(generation),
+                Order::Write(write) => writes.push(write),
             }
-            self.write(writes);
         }
+        self.write(writes);
     }
 
     fn write(&mut self, writes: Vec<Write>) {
--- a/tier/store/src/lib.rs
+++ b/tier/store/src/lib.rs
@@ -10,8 +10,10 @@
 
 use log::info;
 use pointcross_tier_protocol::settings::{InternalPort, Settings, SettingsFault};
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::follow_members;
-use pointcross_tier_runtime::{process, rpc, socket};
+use pointcross_tier_runtime::process::Stop;
+use pointcross_tier_runtime::{process, rpc};
 use pointcross_tier_storage::RingFault;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
@@ -49,12 +51,12 @@
 }
 
 /// Serves until SIGTERM.
-pub async fn run(settings: Settings) -> Result<(), StoreFault> {
-    let store = state::Store::open(settings)?;
+pub async fn run(settings: Settings, environment: Environment, stop: Stop) -> Result<(), StoreFault> {
+    let store = state::Store::open(settings, environment.clone())?;
     let address = store.settings.internal_address(InternalPort::Store);
-    let listener = socket::listen(address).context(ListenSnafu { address })?;
+    let listener = environment.network.listen(address).context(ListenSnafu { address })?;
     let seeds = store.settings.seed_addresses(InternalPort::Control);
-    spawn_local(follow_members(store.shared.clone(), seeds));
+    spawn_local(follow_members(environment, store.shared.clone(), seeds));
     let this = store.clone();
     spawn_local(rpc::serve(listener, move |call| calls::answer(this.clone(), call)));
     spawn_local(announce::run(store.clone()));
@@ -63,7 +65,7 @@
     spawn_local(state::tidy(store.clone()));
     spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
     info!("serving on {address}");
-    process::told_to_stop().await.context(SignalsSnafu)?;
+    stop.await.context(SignalsSnafu)?;
     announce::leave(&store).await;
     Ok(())
 }
--- a/tier/store/src/state.rs
+++ b/tier/store/src/state.rs
@@ -6,6 +6,7 @@
 use pointcross_tier_protocol::settings::InternalPort;
 use pointcross_tier_protocol::turns::TurnRecord;
 use pointcross_tier_protocol::{Settings, StoreEntry, StoreId, StoreState};
+use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::SharedView;
 use pointcross_tier_runtime::random;
 use pointcross_tier_runtime::rpc::Peer;
@@ -15,7 +16,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -43,6 +44,8 @@
 pub struct Store {
     /// Its settings.
     pub settings: Settings,
+    /// Its network and clocks.
+    pub environment: Environment,
     /// Its disk's number.
     pub disk_number: u64,
     /// The directory.
@@ -67,20 +70,17 @@
     overwritten_next: RefCell<Option<mpsc::UnboundedReceiver<u64>>>,
 }
 
-fn day_clock_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
-}
-
 impl Store {
     /// Opens the data folder and takes in what it holds.
-    pub fn open(settings: Settings) -> Result<Rc<Self>, StoreFault> {
+    pub fn open(settings: Settings, environment: Environment) -> Result<Rc<Self>, StoreFault> {
         let folder = settings.data_folder("store").context(SettingsSnafu)?.join("store");
         let Opened { disk, records, overwritten_next } =
-            Disk::open(&folder, settings.limits.disk_mb).context(StorageSnafu)?;
+            Disk::open(&folder, settings.limits.disk_mb, environment.worker_mode).context(StorageSnafu)?;
         let memory = settings.limits.memory_mb as usize * 1024 * 1024 / MEMORY_PART;
         let most_turn_bytes = memory.min(disk.room);
         let mut store = Store {
             settings,
+            environment,
             disk_number: 0,
             shared: SharedView::new(),
             turns: RefCell::default(),
@@ -108,7 +108,7 @@
 
     fn recover(&mut self, records: Vec<(u64, Record)>) {
         let now = self.now();
-        let day_now = day_clock_ms();
+        let day_now = self.environment.day_ms();
         for (generation, record) in records {
             match record {
                 Record::Disk { number, first, made_ms } => {
@@ -129,14 +129,14 @@
         if self.disk_number == 0 {
             self.disk_number = random::unique();
             let first = self.settings.bootstrap;
-            let made_ms = day_clock_ms();
+            let made_ms = self.environment.day_ms();
             let _ = self.disk.write(&Record::Disk { number: self.disk_number, first, made_ms });
             self.doubt(first, made_ms);
         }
     }
 
     fn doubt(&self, first: bool, made_ms: u64) {
-        let age = Duration::from_millis(day_clock_ms().saturating_sub(made_ms));
+        let age = Duration::from_millis(self.environment.day_ms().saturating_sub(made_ms));
         let doubtful = !first && age < DOUBT_AFTER_NEW_DISK;
         self.doubts_until.set(doubtful.then(|| self.now() + DOUBT_AFTER_NEW_DISK));
     }
@@ -183,7 +183,7 @@
         if peers.len() > MOST_PEERS {
             peers.clear();
         }
-        peers.entry(address).or_insert_with(|| Peer::new(address)).clone()
+        peers.entry(address).or_insert_with(|| Peer::new(&self.environment, address)).clone()
     }
 
     /// Whether there is room for more turns.
@@ -193,7 +193,7 @@
 
     /// Writes turns to the disk and keeps them. Gives whether all are safe.
     pub async fn keep(&self, turns: Vec<TurnRecord>) -> bool {
-        let written_ms = day_clock_ms();
+        let written_ms = self.environment.day_ms();
         let mut writes = Vec::with_capacity(turns.len());
         for turn in turns {
             let record = Record::Turn { turn, written_ms };
@@ -249,7 +249,7 @@
     writes.push(store.disk.write(&Record::Epoch { epoch, active }));
     let first = store.is_certain();
     let number = store.disk_number;
-    writes.push(store.disk.write(&Record::Disk { number, first, made_ms: day_clock_ms() }));
+    writes.push(store.disk.write(&Record::Disk { number, first, made_ms: store.environment.day_ms() }));
     for written in writes {
         safe &= matches!(written.await, Ok(Some(_)));
     }
