--- /dev/null
+++ b/tier/instances/tests/merge.rs
@@ -0,0 +1,98 @@
+//! Instances merge in any order; what has begun to drain never takes requests again.
+
+use pointcross_tier_instances::{FeedPosition, InstanceTable, View};
+use pointcross_tier_protocol::{Directory, Instance, InstanceState};
+use proptest::prelude::*;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn instance(state: InstanceState, call_seq: u64) -> Instance {
+    Instance {
+        id: "i".to_owned(),
+        service: "s".to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
+        zone: "z".to_owned(),
+        capacity: 1,
+        state,
+        call_seq,
+    }
+}
+
+#[test]
+fn a_late_heartbeat_does_not_undo_draining() {
+    let mut table = InstanceTable::default();
+    assert!(table.merge(instance(InstanceState::Draining, 4)));
+    assert!(!table.merge(instance(InstanceState::Ready, 9)));
+    assert_eq!(table.get("i").map(|instance| instance.state), Some(InstanceState::Draining));
+    assert!(table.deregister("i"));
+    assert!(!table.merge(instance(InstanceState::Draining, 10)));
+    assert_eq!(table.get("i").map(|instance| instance.state), Some(InstanceState::Gone));
+}
+
+#[test]
+fn a_heartbeat_without_news_wakes_nobody() {
+    let mut table = InstanceTable::default();
+    table.merge(instance(InstanceState::Ready, 1));
+    let revision = table.revision();
+    assert!(!table.merge(instance(InstanceState::Ready, 2)));
+    assert_eq!(table.revision(), revision);
+}
+
+#[test]
+fn silence_ends_with_the_next_heartbeat() {
+    let mut table = InstanceTable::default();
+    table.merge(instance(InstanceState::Ready, 1));
+    assert!(table.merge(instance(InstanceState::Silent, 1)));
+    assert!(!table.merge(instance(InstanceState::Ready, 1)));
+    assert!(table.merge(instance(InstanceState::Ready, 2)));
+}
+
+#[test]
+fn a_follower_of_a_new_source_gets_everything_and_loses_nothing() {
+    let mut source = View::new(7);
+    source.instances_mut().merge(instance(InstanceState::Ready, 1));
+    let mut follower = View::new(8);
+    let news = source.news(&follower.request(FeedPosition::default(), 0)).expect("all of it");
+    let position = FeedPosition { source: news.source, revision: news.instances_revision };
+    assert!(follower.take_in(news));
+    assert!(source.news(&follower.request(position, 0)).is_none());
+    // A source that has just started knows nothing; its word removes nothing.
+    let empty = View::new(9);
+    let news = empty.news(&follower.request(position, 0)).expect("a new source tells");
+    follower.take_in(news);
+    assert_eq!(follower.instances().all().count(), 1);
+}
+
+#[test]
+fn a_view_never_goes_back_to_an_older_directory() {
+    let mut view = View::new(1);
+    let directory = |revision| Directory { revision, ..Directory::default() };
+    assert!(view.adopt_directory(directory(5), Vec::new()));
+    assert!(!view.adopt_directory(directory(4), Vec::new()));
+    assert_eq!(view.directory().revision, 5);
+}
+
+fn states() -> impl Strategy<Value = Instance> {
+    let state = prop_oneof![
+        Just(InstanceState::Ready),
+        Just(InstanceState::Silent),
+        Just(InstanceState::Draining),
+        Just(InstanceState::Gone),
+    ];
+    (state, 0..6_u64).prop_map(|(state, call_seq)| instance(state, call_seq))
+}
+
+proptest! {
+    #[test]
+    fn the_order_does_not_matter(told in proptest::collection::vec(states(), 1..8)) {
+        let merged = |told: &[Instance]| {
+            let mut table = InstanceTable::default();
+            for instance in told {
+                table.merge(instance.clone());
+            }
+            table.get("i").map(|instance| instance.state)
+        };
+        let mut backwards = told.clone();
+        backwards.reverse();
+        prop_assert_eq!(merged(&told), merged(&backwards));
+    }
+}
--- a/tier/protocol/src/configuration.rs
+++ b/tier/protocol/src/configuration.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration: routes, services and limits, with the checks that a valid one passes.
 
+use crate::range_faults;
 use serde::Deserialize;
 use snafu::Snafu;
 use std::collections::BTreeSet;
@@ -294,6 +295,6 @@
 fn in_range(place: &str, value: &impl Validate) -> Result<(), ConfigurationFault> {
     value.validate().map_err(|faults| ConfigurationFault::OutOfRange {
         place: place.to_owned(),
-        text: faults.to_string().replace('\n', "; "),
+        text: range_faults::describe(&faults),
     })
 }
--- a/tier/protocol/src/lib.rs
+++ b/tier/protocol/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod configuration;
 pub mod directory;
+pub mod events;
 pub mod headers;
 pub mod instance;
 pub mod messages;
+mod range_faults;
 pub mod settings;
 pub mod turns;
 
--- a/tier/protocol/src/settings.rs
+++ b/tier/protocol/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings file of a process, as the platform writes it. Unknown keys are ignored; a faulty one is named.
 
+use crate::range_faults;
 use serde::Deserialize;
 use snafu::{ResultExt, Snafu};
 use std::collections::BTreeMap;
@@ -224,7 +225,7 @@
     pub fn from_text(text: &str, path: &Path) -> Result<Self, SettingsFault> {
         let settings: Settings = toml::from_str(text).map_err(Box::new).context(MalformedSnafu { path })?;
         if let Err(faults) = settings.validate() {
-            let text = faults.to_string().replace('\n', "; ");
+            let text = range_faults::describe(&faults);
             return OutOfRangeSnafu { path, text }.fail();
         }
         let (first, last) = settings.port_range;
--- a/tier/proxy/src/lib.rs
+++ b/tier/proxy/src/lib.rs
@@ -4,7 +4,6 @@
 
 mod answer;
 mod budget;
-mod events;
 mod front;
 mod proxy;
 mod queue;
--- a/tier/proxy/src/stream.rs
+++ b/tier/proxy/src/stream.rs
@@ -2,11 +2,12 @@
 
 use crate::answer::{self, Aborted, Answer};
 use crate::budget::Granted;
-use crate::events::EventSplitter;
+
 use crate::request::{Attempts, attempt::Begun};
 use crate::turns;
 use bytes::{Bytes, BytesMut};
 use log::debug;
+use pointcross_tier_protocol::events::EventSplitter;
 use pointcross_tier_protocol::turns::TurnRecord;
 use pointcross_tier_routing::AttemptEnd;
 use std::time::Duration;
--- a/tier/storage/src/ring.rs
+++ b/tier/storage/src/ring.rs
@@ -102,8 +102,8 @@
         if was_empty {
             sync_folder(folder)?;
         }
-        let current =
-            (0..files.len()).max_by_key(|&index| files[index].generation).expect("two files or more");
+        let newest = |index: &usize| (files[*index].generation, std::cmp::Reverse(*index));
+        let current = (0..files.len()).max_by_key(newest).expect("two files or more");
         let mut order: Vec<usize> = (0..files.len()).collect();
         order.sort_by_key(|&index| files[index].generation);
         let mut records = Vec::new();
