--- a/tier/control/src/voter.rs
+++ b/tier/control/src/voter.rs
@@ -72,7 +72,7 @@
             info!("a new disk, number {number:x}");
             ring.append(&rpc::encode(&Record::Disk(number)))?;
             if let Some(value) = &initial {
-                let vote = Durable::Accept(Ballot::default(), value.clone());
+                let vote = Durable::Accept(Ballot::default(), Box::new(value.clone()));
                 ring.append(&rpc::encode(&Record::Vote(vote)))?;
             }
             ring.sync()?;
@@ -121,7 +121,7 @@
 
 fn first_of(votes: &[Durable<Directory>]) -> Option<Value<Directory>> {
     votes.iter().find_map(|vote| match vote {
-        Durable::Accept(ballot, value) if *ballot == Ballot::default() => Some(value.clone()),
+        Durable::Accept(ballot, value) if *ballot == Ballot::default() => Some(value.as_ref().clone()),
         _ => None,
     })
 }
@@ -152,7 +152,7 @@
                 Durable::Promise(ballot) => self.promise = self.promise.max(*ballot),
                 Durable::Accept(ballot, value) => {
                     self.promise = self.promise.max(*ballot);
-                    self.accepted = Some((*ballot, value.clone()));
+                    self.accepted = Some((*ballot, value.as_ref().clone()));
                 }
             }
         }
@@ -172,7 +172,7 @@
         self.ring.advance()?;
         self.ring.append(&rpc::encode(&Record::Disk(self.disk)))?;
         if let Some((ballot, value)) = &self.accepted {
-            let vote = Durable::Accept(*ballot, value.clone());
+            let vote = Durable::Accept(*ballot, Box::new(value.clone()));
             self.ring.append(&rpc::encode(&Record::Vote(vote)))?;
         }
         self.ring.append(&rpc::encode(&Record::Vote(Durable::Promise(self.promise))))?;
--- a/tier/register/src/acceptor.rs
+++ b/tier/register/src/acceptor.rs
@@ -34,7 +34,7 @@
         /// Under which ballot a value was accepted, if one was.
         accepted: Option<Ballot>,
         /// The value.
-        value: Option<Value<T>>,
+        value: Option<Box<Value<T>>>,
     },
     /// Accepted.
     Accepted,
@@ -53,7 +53,7 @@
     /// A promise.
     Promise(Ballot),
     /// An accepted value, which is a promise too.
-    Accept(Ballot, Value<T>),
+    Accept(Ballot, Box<Value<T>>),
 }
 
 /// What comes of a message.
@@ -87,7 +87,7 @@
             Durable::Accept(ballot, value) => {
                 self.promised = self.promised.max(ballot);
                 if self.accepted.as_ref().is_none_or(|(accepted, _)| *accepted <= ballot) {
-                    self.accepted = Some((ballot, value));
+                    self.accepted = Some((ballot, *value));
                 }
             }
         }
@@ -126,7 +126,7 @@
         self.promised = ballot;
         let accepted = self.accepted.as_ref().map(|(ballot, _)| *ballot);
         let known = known.is_some() && known == accepted;
-        let value = self.accepted.as_ref().filter(|_| !known).map(|(_, value)| value.clone());
+        let value = self.accepted.as_ref().filter(|_| !known).map(|(_, value)| Box::new(value.clone()));
         Handled { write: Some(Durable::Promise(ballot)), reply: AcceptorReply::Promised { accepted, value } }
     }
 
@@ -139,6 +139,6 @@
         }
         self.promised = ballot;
         self.accepted = Some((ballot, value.clone()));
-        Handled { write: Some(Durable::Accept(ballot, value)), reply: AcceptorReply::Accepted }
+        Handled { write: Some(Durable::Accept(ballot, Box::new(value))), reply: AcceptorReply::Accepted }
     }
 }
--- a/tier/register/src/proposal.rs
+++ b/tier/register/src/proposal.rs
@@ -132,9 +132,14 @@
         }
     }
 
-    fn promised(&mut self, from: MemberId, accepted: Option<Ballot>, value: Option<Value<T>>) -> Step<T> {
+    fn promised(
+        &mut self,
+        from: MemberId,
+        accepted: Option<Ballot>,
+        value: Option<Box<Value<T>>>,
+    ) -> Step<T> {
         let own = self.known.as_ref().filter(|(ballot, _)| accepted == Some(*ballot));
-        let value = value.or_else(|| own.map(|(_, value)| value.clone()));
+        let value = value.map(|value| *value).or_else(|| own.map(|(_, value)| value.clone()));
         if let (Some(ballot), Some(value)) = (accepted, value)
             && self.highest.as_ref().is_none_or(|(highest, _)| *highest < ballot)
         {
--- a/tier/storage/src/ring.rs
+++ b/tier/storage/src/ring.rs
@@ -229,14 +229,15 @@
     Contents { generation, bodies, end, checksum }
 }
 
+/// Makes the names in a folder, and the folder's own name, outlast a loss of power.
 fn sync_folder(folder: &Path) -> Result<(), RingFault> {
     let opened = File::open(folder).context(IoSnafu { path: folder })?;
     opened.sync_all().context(IoSnafu { path: folder })?;
-    match folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
-        Some(parent) => File::open(parent)
-            .and_then(|parent| parent.sync_all())
-            .or_else(|_| Ok(()))
-            .context(IoSnafu { path: parent }),
-        None => Ok(()),
+    if let Some(parent) = folder.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+        // A parent that can't be opened is not ours: it was there before the process.
+        if let Ok(parent) = File::open(parent) {
+            let _ = parent.sync_all();
+        }
     }
+    Ok(())
 }
--- a/tier/store/src/budgets.rs
+++ b/tier/store/src/budgets.rs
@@ -100,7 +100,7 @@
     for (program, reservations) in budgets {
         for reservation in reservations {
             if store.budgets.borrow_mut().merge(now, &program, &reservation) == Some(true) {
-                let _ = store.disk.write(&Record::Budget { program: program.clone(), reservation });
+                drop(store.disk.write(&Record::Budget { program: program.clone(), reservation }));
             }
         }
     }
--- a/tier/store/src/calls.rs
+++ b/tier/store/src/calls.rs
@@ -104,7 +104,7 @@
     let now = store.now();
     if store.budgets.borrow_mut().merge(now, program, reservation) == Some(true) {
         let record = Record::Budget { program: program.to_owned(), reservation: reservation.clone() };
-        let _ = store.disk.write(&record);
+        drop(store.disk.write(&record));
     }
 }
 
--- a/tier/store/src/state.rs
+++ b/tier/store/src/state.rs
@@ -130,7 +130,7 @@
             self.disk_number = random::unique();
             let first = self.settings.bootstrap;
             let made_ms = self.environment.day_ms();
-            let _ = self.disk.write(&Record::Disk { number: self.disk_number, first, made_ms });
+            drop(self.disk.write(&Record::Disk { number: self.disk_number, first, made_ms }));
             self.doubt(first, made_ms);
         }
     }
