--- a/tier/proxy/src/front.rs
+++ b/tier/proxy/src/front.rs
@@ -34,6 +34,7 @@
     let mut closing = proxy.closing.subscribe();
     loop {
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = closing.wait_for(|closing| *closing) => return,
         };
@@ -65,6 +66,7 @@
     let service = service_fn(move |request| answer(proxy.clone(), request));
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let mut result = tokio::select! {
+            biased;
         result = &mut connection => Some(result),
         _ = closing.wait_for(|closing| *closing) => None,
     };
--- a/tier/proxy/src/stream.rs
+++ b/tier/proxy/src/stream.rs
@@ -117,6 +117,7 @@
         let mut is_first = true;
         loop {
             let piece = tokio::select! {
+            biased;
                 piece = connection.piece() => piece,
                 () = self.sender.closed() => return Relayed::ClientGone,
                 () = tokio::time::sleep_until(deadline) => {
--- a/tier/runtime/src/process.rs
+++ b/tier/runtime/src/process.rs
@@ -39,6 +39,7 @@
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
+            biased;
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
     }
--- a/tier/sessions/src/turn_table.rs
+++ b/tier/sessions/src/turn_table.rs
@@ -2,7 +2,7 @@
 
 use pointcross_tier_protocol::StoreId;
 use pointcross_tier_protocol::turns::{TurnId, TurnRecord};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A turn, and until when it is kept.
@@ -19,7 +19,7 @@
 /// Turns by name, until their time is over.
 #[derive(Clone, Debug, Default)]
 pub struct TurnTable {
-    turns: HashMap<TurnId, KeptTurn>,
+    turns: BTreeMap<TurnId, KeptTurn>,
     by_end: BTreeSet<(Duration, TurnId)>,
     /// Turns on the disk, by the generation of the file.
     by_generation: BTreeMap<u64, usize>,
--- /dev/null
+++ b/tier/simulation/src/chaos.rs
@@ -0,0 +1,95 @@
+//! A day of random load and random faults, from one seed, with its verdict.
+
+mod faults;
+mod ledger;
+mod load;
+
+pub use ledger::{Invariant, Violation};
+
+use crate::cluster::{Cluster, run};
+use crate::engine::Engine;
+use faults::FaultPlan;
+use ledger::Ledger;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+
+/// Time for the deployment to come up and take its first configuration.
+const START: Duration = Duration::from_secs(2);
+/// How long load and faults last.
+const LOAD: Duration = Duration::from_secs(24);
+/// After the last fault the tier serves again within this.
+const RECOVER: Duration = Duration::from_secs(12);
+/// Programs under way at the same time.
+const PROGRAMS: usize = 5;
+/// Model schedulers.
+const ENGINES: u8 = 3;
+
+/// What a day came to.
+#[derive(Clone, Debug)]
+pub struct DayReport {
+    /// The seed.
+    pub seed: u64,
+    /// Faults by kind.
+    pub faults: BTreeMap<&'static str, usize>,
+    /// Requests and orders made.
+    pub operations: usize,
+    /// Requests answered with success and whole.
+    pub served: usize,
+    /// Virtual time that passed.
+    pub virtual_time: Duration,
+    /// Rules broken.
+    pub violations: Vec<Violation>,
+    /// What happened.
+    pub timeline: String,
+}
+
+/// Plays the day of a seed.
+pub fn play(seed: u64) -> DayReport {
+    run(seed, day(seed))
+}
+
+async fn day(seed: u64) -> DayReport {
+    let begun = Instant::now();
+    let mut cluster = Cluster::start();
+    let engines: Vec<Engine> = (1..=ENGINES).map(|number| start_engine(&cluster, number)).collect();
+    cluster.pass(START).await;
+    let ledger = Rc::new(Ledger::new(cluster.timeline.clone()));
+    for engine in &engines {
+        ledger.watch(engine.clone());
+    }
+    let caller = cluster.caller();
+    let stop_at = Instant::now() + LOAD;
+    let operator = spawn_local(load::operate(caller.clone(), ledger.clone(), stop_at));
+    cluster.pass(Duration::from_millis(500)).await;
+    let programs: Vec<_> = (0..PROGRAMS)
+        .map(|number| spawn_local(load::run_programs(caller.clone(), ledger.clone(), number, stop_at)))
+        .collect();
+    let mut plan = FaultPlan::new();
+    plan.carry_out(&mut cluster, &ledger, &engines, stop_at).await;
+    for program in programs {
+        let _ = program.await;
+    }
+    let _ = operator.await;
+    plan.end_all(&mut cluster);
+    load::check_recovery(&caller, &ledger, Instant::now() + RECOVER).await;
+    let violations = ledger.verdict();
+    DayReport {
+        seed,
+        faults: plan.counts(),
+        operations: ledger.operations(),
+        served: ledger.served(),
+        virtual_time: begun.elapsed(),
+        violations,
+        timeline: cluster.timeline.to_string(),
+    }
+}
+
+fn start_engine(cluster: &Cluster, number: u8) -> Engine {
+    let host = Ipv4Addr::new(10, 4, 0, number);
+    let control = cluster.control_addresses();
+    Engine::start(&cluster.world, &format!("i-{number}"), crate::SERVICE, host, control)
+}
--- a/tier/simulation/src/cluster.rs
+++ b/tier/simulation/src/cluster.rs
@@ -230,10 +230,70 @@
         tokio::time::sleep(time).await;
     }
 
+    /// Cuts a machine off from all others that keep state: both ways, or what it says only.
+    pub fn cut_off(&mut self, name: &str, both: bool) {
+        let host = self.machines[name].host;
+        let others =
+            self.machines.values().filter(|machine| machine.class != "front" && machine.host != host);
+        for other in others {
+            self.world.cut(host, other.host);
+            if both {
+                self.world.cut(other.host, host);
+            }
+        }
+        self.timeline.note(name, if both { "is cut off" } else { "is not heard" });
+    }
+
+    /// Ends all cuts.
+    pub fn heal(&mut self) {
+        self.world.heal();
+        self.timeline.note("network", "is whole");
+    }
+
+    /// A caller from outside.
+    pub fn caller(&self) -> Caller {
+        Caller { network: self.outside.clone(), timeline: self.timeline.clone() }
+    }
+
+    /// Sends a configuration with the sample routes to one member. Gives the status of its answer.
+    pub async fn configure(&self, name: &str, base: u64, version: u64) -> Option<u16> {
+        self.caller().configure(name, base, version).await
+    }
+
     /// Calls a machine's control address as the operator.
     pub async fn control(&self, name: &str, request: Request<Bytes>) -> Option<Reply> {
-        let address = SocketAddrV4::new(self.machines[name].host, CONTROL_PORT);
-        client::call(&self.outside, address, request, CALL_WITHIN).await
+        self.caller().control(name, request).await
+    }
+
+    /// Sends a request to a proxy as a program.
+    pub async fn request(&self, name: &str, request: Request<Bytes>) -> Option<Reply> {
+        self.caller().request(name, request).await
+    }
+
+    /// Takes a turn at a proxy, and notes it.
+    pub async fn turn(&self, name: &str, turn: &Turn<'_>) -> Option<Reply> {
+        self.caller().turn(name, turn).await
+    }
+}
+
+/// Somebody outside who calls machines by name.
+#[derive(Clone)]
+pub struct Caller {
+    network: Rc<dyn Network>,
+    timeline: Timeline,
+}
+
+/// The address of a machine, which its name tells.
+fn host_of(name: &str) -> Ipv4Addr {
+    let (class, number) = name.rsplit_once('-').unwrap_or((name, "0"));
+    host(class, number.parse().unwrap_or(0))
+}
+
+impl Caller {
+    /// Calls a machine's control address as the operator.
+    pub async fn control(&self, name: &str, request: Request<Bytes>) -> Option<Reply> {
+        let address = SocketAddrV4::new(host_of(name), CONTROL_PORT);
+        client::call(&self.network, address, request, CALL_WITHIN).await
     }
 
     /// Sends a configuration with the sample routes to one member. Gives the status of its answer.
@@ -251,8 +311,8 @@
 
     /// Sends a request to a proxy as a program.
     pub async fn request(&self, name: &str, request: Request<Bytes>) -> Option<Reply> {
-        let address = SocketAddrV4::new(self.machines[name].host, FRONT_PORT);
-        client::call(&self.outside, address, request, CALL_WITHIN).await
+        let address = SocketAddrV4::new(host_of(name), FRONT_PORT);
+        client::call(&self.network, address, request, CALL_WITHIN).await
     }
 
     /// Takes a turn at a proxy, and notes it.
@@ -267,6 +327,21 @@
         self.timeline.note(name, format!("turn {}{after}: {told}", turn.id));
         reply
     }
+
+    /// The number of the newest configuration, as a member reads it.
+    pub async fn configuration_version(&self, name: &str) -> Option<u64> {
+        let request =
+            Request::get("/pointcross/Configuration.Get").body(Bytes::new()).expect("a valid request");
+        let reply = self.control(name, request).await?;
+        match reply.status.as_u16() {
+            404 => Some(0),
+            200 => {
+                let text = String::from_utf8_lossy(&reply.body).into_owned();
+                text.split(',').next()?.rsplit(':').next()?.parse().ok()
+            }
+            _ => None,
+        }
+    }
 }
 
 /// A program's turn.
--- a/tier/simulation/src/lib.rs
+++ b/tier/simulation/src/lib.rs
@@ -5,13 +5,14 @@
 //! keeps a ledger of what it ran; [`client`] speaks to the tier as programs and operators do.
 #![warn(missing_docs)]
 
+pub mod chaos;
 pub mod client;
 mod cluster;
 mod engine;
 mod network;
 mod timeline;
 
-pub use cluster::{Cluster, ROUTES, SERVICE, Turn, run};
+pub use cluster::{Caller, Cluster, ROUTES, SERVICE, Turn, run};
 pub use engine::{Engine, RanRequest};
 pub use network::World;
 pub use timeline::Timeline;
--- /dev/null
+++ b/tier/simulation/tests/chaos.rs
@@ -0,0 +1,17 @@
+//! Days of random load and faults keep the rules, and a day is the same each time it is played.
+
+use pointcross_tier_simulation::chaos;
+
+#[test]
+fn random_days_keep_the_rules() {
+    for seed in 1..=3 {
+        let report = chaos::play(seed);
+        assert!(report.violations.is_empty(), "seed {seed}: {:?}\n{}", report.violations, report.timeline);
+        assert!(report.served > 100, "seed {seed} served {}", report.served);
+    }
+}
+
+#[test]
+fn a_seed_plays_the_same_day_again() {
+    assert_eq!(chaos::play(4).timeline, chaos::play(4).timeline);
+}
--- a/tier/store/src/state.rs
+++ b/tier/store/src/state.rs
@@ -220,6 +220,7 @@
     let mut overwritten_next = store.overwritten_next.take().expect("tidied by one task");
     loop {
         tokio::select! {
+            biased;
             () = tokio::time::sleep(TIDY_EVERY) => {
                 let now = store.now();
                 store.turns.borrow_mut().forget_ended(now);
