Tell silent and failing servers from sound ones; read the settings again

Cause: an instance that crashed stayed among the servers of every proxy, each of which kept trying it; a server that hangs was taken for an idle one, since clients left before its failure was counted; one that fails part of its requests was forgiven by each success. Seeds that changed in the settings file were not read.

Change: the member that heard an instance last says when it is silent, and takes it out after minutes; attempts that clients leave after long silence count as failures; the part of failures is learned and fades; a stream that may be resumed is moved when no event comes; agents, stores and members read the file again.

--- a/tier/agent/src/lib.rs
+++ b/tier/agent/src/lib.rs
@@ -8,7 +8,7 @@
 use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::{SharedView, follow_members};
 use pointcross_tier_runtime::process::Stop;
-use pointcross_tier_runtime::{process, rpc};
+use pointcross_tier_runtime::{reload, rpc};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -42,11 +42,10 @@
     let shared = SharedView::new();
     let address = settings.feed_address();
     let listener = environment.network.listen(address).context(ListenSnafu { address })?;
-    let seeds = settings.seed_addresses(InternalPort::Control);
+    let seeds = reload::seeds(&settings, InternalPort::Control);
     spawn_local(follow_members(environment, shared.clone(), seeds));
     let view = shared.clone();
     spawn_local(rpc::serve(listener, move |call| answer(view.clone(), call)));
-    spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
     info!("feeding on {address}");
     stop.await.context(SignalsSnafu)?;
     // The proxy finishes what it took within the grace; it hears of instances that drain until then.
--- a/tier/control/src/heartbeats.rs
+++ b/tier/control/src/heartbeats.rs
@@ -27,7 +27,13 @@
     let is_final = instance.state >= InstanceState::Draining;
     let service = instance.service.clone();
     let state = instance.state;
-    if member.shared.change(|view| view.instances_mut().merge(instance)) {
+    let is_new_here = member.heard.borrow_mut().hear(id, instance.call_seq);
+    let changed = member.shared.change(|view| {
+        let changed = view.instances_mut().merge(instance);
+        // The member that heard it before learns that it is heard here now.
+        changed || (is_new_here && view.instances_mut().tell_again(id))
+    });
+    if changed {
         info!("instance {id} of {service}: {state:?}");
         member.wake_exchange();
     }
--- a/tier/control/src/joining.rs
+++ b/tier/control/src/joining.rs
@@ -4,8 +4,8 @@
 use crate::messages::{MemberCall, MemberReply};
 use crate::proposer::{self, Decision};
 use log::info;
-use pointcross_tier_protocol::settings::InternalPort;
 use pointcross_tier_register::{Group, MemberId};
+use pointcross_tier_runtime::follow::Seeds;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,7 +22,7 @@
 const CHANGE_WITHIN: Duration = Duration::from_secs(3);
 
 /// Asks to join for as long as this process is no member.
-pub async fn run(member: Rc<Member>) {
+pub async fn run(member: Rc<Member>, seeds: Seeds) {
     loop {
         tokio::time::sleep(ASK_EVERY).await;
         if member.is_member() {
@@ -30,7 +30,7 @@
         }
         let own = member.id();
         let mut asked: Vec<SocketAddrV4> = member.group().members.iter().map(|other| other.address).collect();
-        asked.extend(member.settings.seed_addresses(InternalPort::Member));
+        asked.extend(seeds.borrow().iter());
         asked.sort();
         asked.dedup();
         asked.retain(|address| *address != own.address);
--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod messages;
 mod operator;
 mod proposer;
+mod silence;
 mod stores;
 mod sync;
 mod voter;
@@ -18,7 +19,7 @@
 use pointcross_tier_protocol::settings::{InternalPort, Settings, SettingsFault};
 use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::process::Stop;
-use pointcross_tier_runtime::{process, rpc};
+use pointcross_tier_runtime::{reload, rpc};
 use pointcross_tier_storage::RingFault;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
@@ -76,9 +77,10 @@
     spawn_local(rpc::serve(follow, move |call| followers::answer(this.clone(), call)));
     spawn_local(http::serve(member.clone(), outside));
     spawn_local(sync::run(member.clone()));
-    spawn_local(joining::run(member.clone()));
     spawn_local(stores::watch(member.clone()));
-    spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
+    let seeds = reload::seeds(&member.settings, InternalPort::Member);
+    spawn_local(joining::run(member.clone(), seeds));
+    spawn_local(silence::watch(member.clone()));
     info!("serving on {control_address}");
     stop.await.context(SignalsSnafu)
 }
--- a/tier/control/src/member.rs
+++ b/tier/control/src/member.rs
@@ -1,6 +1,7 @@
 //! What a control member holds, and what it knows to be in force.
 
 use crate::ControlFault;
+use crate::silence::Heard;
 use crate::voter::{Opened, Voter};
 use crate::{SettingsSnafu, StorageSnafu};
 use log::info;
@@ -58,6 +59,8 @@
     in_force: RefCell<Option<(Ballot, Value<Directory>)>>,
     exchanges: RefCell<BTreeMap<SocketAddrV4, Exchange>>,
     peers: RefCell<BTreeMap<SocketAddrV4, Rc<Peer>>>,
+    /// When instances were heard here.
+    pub heard: RefCell<Heard>,
     /// A change of members is under way.
     pub changing_members: Cell<bool>,
 }
@@ -93,6 +96,7 @@
             in_force: RefCell::default(),
             exchanges: RefCell::default(),
             peers: RefCell::default(),
+            heard: RefCell::default(),
             changing_members: Cell::new(false),
         }))
     }
--- a/tier/control/src/sync.rs
+++ b/tier/control/src/sync.rs
@@ -91,6 +91,9 @@
 /// Takes in what another member tells.
 pub fn take_in(member: &Rc<Member>, call: SyncCall) -> SyncReply {
     member.learn_group(&call.group);
+    for instance in &call.instances {
+        member.heard.borrow_mut().told(instance);
+    }
     member.shared.change(|view| {
         let merged: Vec<bool> =
             call.instances.into_iter().map(|instance| view.instances_mut().merge(instance)).collect();
--- a/tier/instances/src/table.rs
+++ b/tier/instances/src/table.rs
@@ -56,6 +56,16 @@
         true
     }
 
+    /// Tells an instance again to all that follow, though nothing but its last call changed.
+    pub fn tell_again(&mut self, id: &str) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        self.revision += 1;
+        entry.revision = self.revision;
+        true
+    }
+
     /// Takes note of an end, also of an instance not heard of before.
     pub fn deregister(&mut self, id: &str) -> bool {
         match self.entries.get(id) {
--- a/tier/proxy/src/request/attempt.rs
+++ b/tier/proxy/src/request/attempt.rs
@@ -26,15 +26,28 @@
 /// Servers that may be tried without having been sent a whole request.
 const MOST_UNSENT: usize = 6;
 
+/// A client that leaves after so long without an answer tells of a server that hangs, in milliseconds and in times
+/// of what was foreseen.
+const SILENT_MS: f64 = 1000.0;
+const SILENT_TIMES: f64 = 8.0;
+
 /// An attempt that is out; what it holds of its server is given back when it ends, or when it is dropped.
 pub struct Out {
     proxy: Rc<Proxy>,
     id: String,
     units: f64,
+    sent: Instant,
+    foreseen: f64,
+    heard: bool,
     ended: bool,
 }
 
 impl Out {
+    /// Something of the answer came.
+    pub fn heard(&mut self) {
+        self.heard = true;
+    }
+
     /// The attempt has ended.
     pub fn end(mut self, end: AttemptEnd) {
         self.finish(end);
@@ -51,7 +64,9 @@
 
 impl Drop for Out {
     fn drop(&mut self) {
-        self.finish(AttemptEnd::Abandoned);
+        let waited_ms = self.sent.elapsed().as_secs_f64() * 1000.0;
+        let hangs = !self.heard && waited_ms > SILENT_MS.max(SILENT_TIMES * self.foreseen);
+        self.finish(if hangs { AttemptEnd::Failed } else { AttemptEnd::Abandoned });
     }
 }
 
@@ -172,8 +187,9 @@
         self.tried.push(instance.id.clone());
         let units = context.units();
         proxy.servers.borrow_mut().sent(proxy.now_ms(), &instance.id, units, context.prompt.as_ref());
-        let out = Out { proxy: proxy.clone(), id: instance.id.clone(), units, ended: false };
         let sent = Instant::now();
+        let (id, heard, ended) = (instance.id.clone(), false, false);
+        let out = Out { proxy: proxy.clone(), id, units, sent, foreseen, heard, ended };
         let give_up = self.patience();
         let exchange = exchange(&proxy, &context, instance, last_event);
         let (connection, head) = match tokio::time::timeout_at(give_up, exchange).await {
@@ -215,13 +231,12 @@
     }
 
     /// When this attempt is given up.
-    fn patience(&self) -> Instant {
+    pub fn patience(&self) -> Instant {
         let context = &self.context;
         let now = Instant::now();
         let left = context.deadline.saturating_duration_since(now);
         let another = self.sends + 1 < context.routed.route.max_attempts;
-        let repeatable = context.routed.route.may_repeat();
-        if another && repeatable { now + left * PATIENCE_PART / 100 } else { context.deadline }
+        if another && context.may_run_again() { now + left * PATIENCE_PART / 100 } else { context.deadline }
     }
 
     /// Reads an answer whole and passes it on as it is.
--- a/tier/proxy/src/stream.rs
+++ b/tier/proxy/src/stream.rs
@@ -110,9 +110,10 @@
 
     /// Relays from one server.
     async fn relay(&mut self, begun: Begun) -> Relayed {
-        let Begun { mut connection, out, instance, head, sent, foreseen } = begun;
+        let Begun { mut connection, mut out, instance, head, sent, foreseen } = begun;
         let proxy = self.attempts.proxy.clone();
         let deadline = self.attempts.context.deadline;
+        let first_within = self.attempts.patience();
         let mut splitter = EventSplitter::default();
         let mut is_first = true;
         loop {
@@ -120,9 +121,9 @@
             biased;
                 piece = connection.piece() => piece,
                 () = self.sender.closed() => return Relayed::ClientGone,
-                () = tokio::time::sleep_until(deadline) => {
+                () = tokio::time::sleep_until(if is_first { first_within } else { deadline }) => {
                     out.end(AttemptEnd::Failed);
-                    return Relayed::TooLate;
+                    return if Instant::now() < deadline { Relayed::Broken } else { Relayed::TooLate };
                 }
             };
             let piece = match piece {
@@ -135,6 +136,7 @@
             };
             if is_first {
                 is_first = false;
+                out.heard();
                 let took = sent.elapsed().as_secs_f64() * 1000.0;
                 let report = crate::request::attempt::load_report(&head.headers);
                 proxy.servers.borrow_mut().answered(proxy.now_ms(), &instance, took, foreseen, report);
--- a/tier/routing/src/server.rs
+++ b/tier/routing/src/server.rs
@@ -10,6 +10,12 @@
 const TIME_WEIGHT: f64 = 0.1;
 /// Failures in a row after which a server rests.
 const FAILURES_BEFORE_REST: u32 = 2;
+/// Weight of the newest attempt in a server's part of failures.
+const TROUBLE_WEIGHT: f64 = 0.2;
+/// A rejection tells less of a server than a failure.
+const REJECTION: f64 = 0.5;
+/// What was learned of failures fades to a third in this time, in milliseconds, so that a healed server is found.
+const TROUBLE_FADES_IN: f64 = 6000.0;
 /// The first rest after failures, in milliseconds; it doubles up to [`LONGEST_REST`].
 const FIRST_REST: f64 = 250.0;
 const LONGEST_REST: f64 = 4000.0;
@@ -65,6 +71,9 @@
     /// The mean time of an answer, or to a stream's first event, in milliseconds over what was foreseen.
     pub time_factor: f64,
     pub failures: u32,
+    /// The part of attempts that failed, and when that was last learned.
+    trouble: f64,
+    trouble_at: f64,
     pub rests_until: f64,
     /// The address belongs to another instance by now.
     pub replaced: bool,
@@ -83,6 +92,8 @@
             gap_from: 0.0,
             time_factor: 1.0,
             failures: 0,
+            trouble: 0.0,
+            trouble_at: 0.0,
             rests_until: f64::NEG_INFINITY,
             replaced: false,
             report: None,
@@ -102,6 +113,17 @@
         now < self.rests_until
     }
 
+    /// The part of attempts that fail there, as far as that is still worth something.
+    pub fn trouble(&self, now: f64) -> f64 {
+        self.trouble * (-(now - self.trouble_at).max(0.0) / TROUBLE_FADES_IN).exp()
+    }
+
+    fn learn_trouble(&mut self, now: f64, failed: f64) {
+        let before = self.trouble(now);
+        self.trouble = before + TROUBLE_WEIGHT * (failed - before);
+        self.trouble_at = now;
+    }
+
     /// Requests of other proxies there, as far as it told lately.
     pub fn others(&self, now: f64, report_lasts: f64) -> f64 {
         match &self.report {
@@ -147,15 +169,18 @@
                 self.learned.learn(units, (now - self.gap_from).max(1.0));
                 self.gap_from = now;
                 self.failures = 0;
+                self.learn_trouble(now, 0.0);
             }
             AttemptEnd::OtherInstance => self.replaced = true,
             AttemptEnd::NoConnection => self.failed(now, 1),
             AttemptEnd::Failed | AttemptEnd::ServerError => self.failed(now, FAILURES_BEFORE_REST),
-            AttemptEnd::Rejected | AttemptEnd::Abandoned => {}
+            AttemptEnd::Rejected => self.learn_trouble(now, REJECTION),
+            AttemptEnd::Abandoned => {}
         }
     }
 
     fn failed(&mut self, now: f64, before_rest: u32) {
+        self.learn_trouble(now, 1.0);
         self.failures += 1;
         if self.failures >= before_rest {
             let doublings = (self.failures - before_rest).min(8);
--- a/tier/routing/src/servers.rs
+++ b/tier/routing/src/servers.rs
@@ -19,6 +19,10 @@
 const HOME_MS: f64 = 8.0;
 /// How long a server's own report of its load is believed, in milliseconds.
 const REPORT_LASTS: f64 = 1000.0;
+/// What a certain failure costs, in milliseconds: the request is made again, or is lost.
+const FAILURE_MS: f64 = 400.0;
+/// What a server costs that the control plane has not heard for long: as a rest.
+const SILENT_MS: f64 = 50_000.0;
 /// A server that rests is chosen only where no other is left.
 const REST_MS: f64 = 100_000.0;
 
@@ -134,7 +138,9 @@
         };
         let zone = if server.instance.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
         let rest = if server.rests(now) { REST_MS } else { 0.0 };
-        own_time + load + zone + rest - self.home_advantage(server, demand)
+        let silent = if server.instance.state == InstanceState::Silent { SILENT_MS } else { 0.0 };
+        let trouble = server.trouble(now) * FAILURE_MS;
+        own_time + load + zone + rest + silent + trouble - self.home_advantage(server, demand)
     }
 
     fn home_advantage(&self, server: &Server, demand: &Demand) -> f64 {
--- a/tier/runtime/src/follow.rs
+++ b/tier/runtime/src/follow.rs
@@ -119,15 +119,18 @@
     tokio::time::sleep(Duration::from_millis(PAUSE_MS / 2 + random::below(PAUSE_MS))).await;
 }
 
+/// Addresses of control members from the settings; they change where the settings file does.
+pub type Seeds = Rc<RefCell<Vec<SocketAddrV4>>>;
+
 /// Follows the control plane for ever, two members at a time so that one may fall silent unnoticed.
-pub async fn follow_members(environment: Environment, shared: Rc<SharedView>, seeds: Vec<SocketAddrV4>) {
+pub async fn follow_members(environment: Environment, shared: Rc<SharedView>, seeds: Seeds) {
     let followed: Rc<RefCell<BTreeMap<usize, SocketAddrV4>>> = Rc::default();
     let chooser = |index: usize| {
         let (shared, seeds, followed) = (shared.clone(), seeds.clone(), followed.clone());
         move || {
             let mut candidates = shared.read(|view| view.members().to_vec());
             if candidates.is_empty() || random::below(8) == 0 {
-                candidates.extend(&seeds);
+                candidates.extend(seeds.borrow().iter());
             }
             candidates.sort();
             candidates.dedup();
@@ -139,6 +142,9 @@
             if candidates.len() > 1 {
                 candidates.retain(|candidate| Some(*candidate) != last);
             }
+            if candidates.is_empty() {
+                return None;
+            }
             let chosen = candidates[random::below(candidates.len() as u64) as usize];
             followed.borrow_mut().insert(index, chosen);
             Some(chosen)
--- a/tier/runtime/src/lib.rs
+++ b/tier/runtime/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod network;
 pub mod process;
 pub mod random;
+pub mod reload;
 pub mod rpc;
 pub mod socket;
 pub mod worker;
--- a/tier/store/src/announce.rs
+++ b/tier/store/src/announce.rs
@@ -4,7 +4,6 @@
 use log::{debug, info};
 use pointcross_tier_protocol::StoreState;
 use pointcross_tier_protocol::messages::{ControlCall, ControlReply};
-use pointcross_tier_protocol::settings::InternalPort;
 use pointcross_tier_runtime::random;
 use pointcross_tier_runtime::rpc::Peer;
 use std::net::SocketAddrV4;
@@ -62,7 +61,10 @@
 pub async fn tell(store: &Store, call: &ControlCall) -> bool {
     let mut members: Vec<SocketAddrV4> = store.shared.read(|view| view.members().to_vec());
     if members.is_empty() {
-        members = store.settings.seed_addresses(InternalPort::Control);
+        members = store.seeds.borrow().as_ref().map_or_else(Vec::new, |seeds| seeds.borrow().clone());
+    }
+    if members.is_empty() {
+        return false;
     }
     let member = members[random::below(members.len() as u64) as usize];
     match Peer::new(&store.environment, member).call::<ControlReply>(call, ANSWER_WITHIN).await {
--- a/tier/store/src/lib.rs
+++ b/tier/store/src/lib.rs
@@ -13,7 +13,7 @@
 use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::follow_members;
 use pointcross_tier_runtime::process::Stop;
-use pointcross_tier_runtime::{process, rpc};
+use pointcross_tier_runtime::{reload, rpc};
 use pointcross_tier_storage::RingFault;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddrV4;
@@ -55,7 +55,8 @@
     let store = state::Store::open(settings, environment.clone())?;
     let address = store.settings.internal_address(InternalPort::Store);
     let listener = environment.network.listen(address).context(ListenSnafu { address })?;
-    let seeds = store.settings.seed_addresses(InternalPort::Control);
+    let seeds = reload::seeds(&store.settings, InternalPort::Control);
+    *store.seeds.borrow_mut() = Some(seeds.clone());
     spawn_local(follow_members(environment, store.shared.clone(), seeds));
     let this = store.clone();
     spawn_local(rpc::serve(listener, move |call| calls::answer(this.clone(), call)));
@@ -63,7 +64,6 @@
     spawn_local(budgets::follow_epochs(store.clone()));
     spawn_local(repair::run(store.clone()));
     spawn_local(state::tidy(store.clone()));
-    spawn_local(process::on_hangup(|| info!("settings are read at the start only")));
     info!("serving on {address}");
     stop.await.context(SignalsSnafu)?;
     announce::leave(&store).await;
--- a/tier/store/src/state.rs
+++ b/tier/store/src/state.rs
@@ -7,7 +7,7 @@
 use pointcross_tier_protocol::turns::TurnRecord;
 use pointcross_tier_protocol::{Settings, StoreEntry, StoreId, StoreState};
 use pointcross_tier_runtime::environment::Environment;
-use pointcross_tier_runtime::follow::SharedView;
+use pointcross_tier_runtime::follow::{Seeds, SharedView};
 use pointcross_tier_runtime::random;
 use pointcross_tier_runtime::rpc::Peer;
 use pointcross_tier_sessions::{BudgetTable, TurnTable};
@@ -58,6 +58,8 @@
     pub synced: RefCell<SyncedEpoch>,
     /// Up to which epoch others have taken this store's budgets.
     pub pulled: RefCell<BTreeMap<StoreId, u64>>,
+    /// Control members that the settings name.
+    pub seeds: RefCell<Option<Seeds>>,
     /// A planned stop has begun.
     pub leaving: Cell<bool>,
     /// The disk.
@@ -87,6 +89,7 @@
             budgets: RefCell::default(),
             synced: RefCell::default(),
             pulled: RefCell::default(),
+            seeds: RefCell::default(),
             leaving: Cell::new(false),
             disk,
             doubts_until: Cell::new(None),
