--- a/tier/routing/src/server.rs
+++ b/tier/routing/src/server.rs
@@ -7,7 +7,7 @@
 /// Parts of prompts remembered for one server; its cache holds some hundred.
 const MOST_PARTS: usize = 512;
 /// Weight of the newest answer in a server's mean time.
-const TIME_WEIGHT: f64 = 0.1;
+const TIME_WEIGHT: f64 = 0.25;
 /// Failures in a row after which a server rests.
 const FAILURES_BEFORE_REST: u32 = 2;
 /// Weight of the newest attempt in a server's part of failures.
