--- a/tier/control/src/member.rs
+++ b/tier/control/src/member.rs
@@ -23,8 +23,8 @@
 
 /// A member counts as reached for so long after it last answered.
 const REACHED_FOR: Duration = Duration::from_millis(700);
-/// Other members' connections that are kept; machines come and go under new addresses.
-const MOST_PEERS: usize = 64;
+/// Connections to other members and to stores that are kept; machines come and go under new addresses.
+const MOST_PEERS: usize = 512;
 
 /// What is known of the exchange with another member.
 #[derive(Clone, Copy, Debug, Default)]
--- a/tier/control/src/stores.rs
+++ b/tier/control/src/stores.rs
@@ -6,11 +6,9 @@
 use pointcross_tier_protocol::messages::{ControlReply, StoreCall, StoreReply};
 use pointcross_tier_protocol::{StoreEntry, StoreId};
 use pointcross_tier_register::MemberId;
-use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::rpc::Peer;
 use std::collections::BTreeMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -57,8 +55,8 @@
         .readable_stores()
         .map(|store| {
             let (id, address) = (store.id.clone(), store.address);
-            let environment = member.environment.clone();
-            spawn_local(async move { (id, answers(&environment, address).await) })
+            let peer = member.peer(address);
+            spawn_local(async move { (id, answers(&peer).await) })
         })
         .collect();
     let mut silent = Vec::new();
@@ -70,10 +68,10 @@
     silent
 }
 
-async fn answers(environment: &Environment, address: SocketAddrV4) -> bool {
+async fn answers(store: &Peer) -> bool {
     for _ in 0..PINGS {
         let begun = Instant::now();
-        let reply = Peer::new(environment, address).call::<StoreReply>(&StoreCall::Ping, PING_WITHIN).await;
+        let reply = store.call::<StoreReply>(&StoreCall::Ping, PING_WITHIN).await;
         if reply.is_ok() {
             return true;
         }
@@ -114,11 +112,9 @@
         let pings: Vec<_> = own
             .into_iter()
             .map(|store| {
-                let environment = member.environment.clone();
+                let peer = member.peer(store.address);
                 spawn_local(async move {
-                    let reply = Peer::new(&environment, store.address)
-                        .call::<StoreReply>(&StoreCall::Ping, PING_WITHIN)
-                        .await;
+                    let reply = peer.call::<StoreReply>(&StoreCall::Ping, PING_WITHIN).await;
                     (store.id, reply.is_ok())
                 })
             })
--- a/tier/routing/src/server.rs
+++ b/tier/routing/src/server.rs
@@ -15,7 +15,7 @@
 /// A rejection tells less of a server than a failure.
 const REJECTION: f64 = 0.5;
 /// What was learned of failures fades to a third in this time, in milliseconds, so that a healed server is found.
-const TROUBLE_FADES_IN: f64 = 6000.0;
+const TROUBLE_FADES_IN: f64 = 3000.0;
 /// The first rest after failures, in milliseconds; it doubles up to [`LONGEST_REST`].
 const FIRST_REST: f64 = 250.0;
 const LONGEST_REST: f64 = 4000.0;
