--- a/tier/protocol/src/settings.rs
+++ b/tier/protocol/src/settings.rs
@@ -248,7 +248,9 @@
 
     /// The loopback address on which the agent feeds its proxy.
     pub fn feed_address(&self) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::LOCALHOST, self.internal_port(InternalPort::AgentFeed))
+        // Several machines may be played on one, each with a loopback address of its own.
+        let loopback = if self.bind_ip.is_loopback() { self.bind_ip } else { Ipv4Addr::LOCALHOST };
+        SocketAddrV4::new(loopback, self.internal_port(InternalPort::AgentFeed))
     }
 
     /// Addresses of an internal interface on the seeds' machines.
--- a/tier/simulation/src/cluster.rs
+++ b/tier/simulation/src/cluster.rs
@@ -1,6 +1,7 @@
 //! A deployment: three control members, three stores, two proxies with their agents.
 
 use crate::client::{self, Reply};
+use crate::machine::{CONTROL_PORT, FRONT_PORT, MachinePlace, Process, start_roles};
 use crate::network::World;
 use crate::timeline::Timeline;
 use bytes::Bytes;
@@ -8,25 +9,17 @@
 use pointcross_tier_protocol::Settings;
 use pointcross_tier_runtime::environment::{DayClock, Environment};
 use pointcross_tier_runtime::network::Network;
-use pointcross_tier_runtime::process::Stop;
 use pointcross_tier_runtime::random;
 use pointcross_tier_runtime::worker::WorkerMode;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use tempfile::TempDir;
-use tokio::sync::oneshot;
-use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::task::LocalSet;
 use tokio::time::Instant;
 
-const CONTROL_PORT: u16 = 7000;
-const FRONT_PORT: u16 = 7001;
-const READY_PORT: u16 = 7002;
-const FIRST_FREE_PORT: u16 = 7100;
-const LAST_FREE_PORT: u16 = 7115;
 /// A sync of a disk.
 const SYNC: Duration = Duration::from_millis(5);
 /// How long a caller from outside waits.
@@ -60,7 +53,7 @@
     host: Ipv4Addr,
     folder: TempDir,
     bootstrap: bool,
-    processes: Vec<(JoinHandle<()>, Option<oneshot::Sender<()>>)>,
+    processes: Vec<Process>,
 }
 
 /// A deployment.
@@ -119,20 +112,8 @@
 
     fn settings(&self, name: &str) -> Settings {
         let machine = &self.machines[name];
-        let seeds: Vec<String> = self.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-        let zone = name.rsplit('-').next().unwrap_or_default();
-        let text = format!(
-            "Node = \"{name}\"\nBindIp = \"{host}\"\nZone = \"zone-{zone}\"\n\
-             PortRange = [{FIRST_FREE_PORT},{LAST_FREE_PORT}]\nSeedNodes = [{seeds}]\nBootstrap = {bootstrap}\n\
-             DataDir = \"{folder}\"\nHeartbeatMs = 1000\n[ListenAddrs]\nFrontAddr = \"{host}:{FRONT_PORT}\"\n\
-             ReadyAddr = \"{host}:{READY_PORT}\"\nControlAddr = \"{host}:{CONTROL_PORT}\"\n\
-             [Limits]\nMemoryMb = 256\nMaxFds = 4096\nDiskMb = 64\n[FaultTolerance]\nMachines = 1\n",
-            host = machine.host,
-            seeds = seeds.join(","),
-            bootstrap = machine.bootstrap,
-            folder = machine.folder.path().display(),
-        );
-        Settings::from_text(&text, Path::new(name)).expect("valid settings")
+        let place = MachinePlace { name, host: machine.host, folder: machine.folder.path() };
+        place.settings(&self.seeds, machine.bootstrap)
     }
 
     fn start_machine(&mut self, name: &str) {
@@ -144,27 +125,7 @@
             day_clock: DayClock::Counted { from_ms: 1_700_000_000_000, since: self.begun },
         };
         self.world.set_dark(machine.host, false);
-        let processes = match machine.class {
-            "core" => vec![spawn_process(|stop| async move {
-                pointcross_tier_control::run(settings, environment, stop).await.expect("control serves");
-            })],
-            "storage" => vec![spawn_process(|stop| async move {
-                pointcross_tier_store::run(settings, environment, stop).await.expect("the store serves");
-            })],
-            _ => {
-                let (for_agent, agent_environment) = (settings.clone(), environment.clone());
-                vec![
-                    spawn_process(|stop| async move {
-                        let served = pointcross_tier_agent::run(for_agent, agent_environment, stop);
-                        served.await.expect("the agent serves");
-                    }),
-                    spawn_process(|stop| async move {
-                        let served = pointcross_tier_proxy::run(settings, environment, stop);
-                        served.await.expect("the proxy serves");
-                    }),
-                ]
-            }
-        };
+        let processes = start_roles(machine.class, settings, environment);
         machine.processes = processes;
         machine.bootstrap = false;
         self.timeline.note(name, "starts");
@@ -172,9 +133,7 @@
 
     fn end_processes(&mut self, name: &str) {
         let machine = self.machines.get_mut(name).expect("a machine of the cluster");
-        for (process, _) in machine.processes.drain(..) {
-            process.abort();
-        }
+        machine.processes.drain(..).for_each(Process::kill);
     }
 
     /// Kills a machine's processes: their connections close.
@@ -207,11 +166,7 @@
     /// Tells a machine's processes to stop.
     pub fn terminate(&mut self, name: &str) {
         let machine = self.machines.get_mut(name).expect("a machine of the cluster");
-        for (_, stop) in &mut machine.processes {
-            if let Some(stop) = stop.take() {
-                let _ = stop.send(());
-            }
-        }
+        machine.processes.iter_mut().for_each(Process::terminate);
         self.timeline.note(name, "is told to stop");
     }
 
@@ -383,22 +338,3 @@
         request.body(Bytes::copy_from_slice(self.input.as_bytes())).expect("a valid request")
     }
 }
-
-/// Runs a process in a set of tasks of its own, so that all of them end with it.
-fn spawn_process<Running>(main: impl FnOnce(Stop) -> Running) -> (JoinHandle<()>, Option<oneshot::Sender<()>>)
-where
-    Running: Future<Output = ()> + 'static,
-{
-    let (sender, receiver) = oneshot::channel();
-    let stop: Stop = Box::pin(async move {
-        if receiver.await.is_err() {
-            std::future::pending::<()>().await;
-        }
-        Ok(())
-    });
-    let running = main(stop);
-    let process = spawn_local(async move {
-        LocalSet::new().run_until(running).await;
-    });
-    (process, Some(sender))
-}
--- a/tier/simulation/src/engine.rs
+++ b/tier/simulation/src/engine.rs
@@ -56,13 +56,24 @@
 }
 
 impl Engine {
-    /// Starts one on a host; it calls these control addresses in turn.
+    /// Starts one on a host of a network in memory; it calls these control addresses in turn.
     pub fn start(world: &World, id: &str, service: &str, host: Ipv4Addr, control: Vec<SocketAddrV4>) -> Self {
+        Engine::start_on(world.network(host), id, service, host, control)
+    }
+
+    /// Starts one on any network.
+    pub fn start_on(
+        network: Rc<dyn Network>,
+        id: &str,
+        service: &str,
+        host: Ipv4Addr,
+        control: Vec<SocketAddrV4>,
+    ) -> Self {
         let engine = Engine {
             id: id.to_owned(),
             service: service.to_owned(),
             address: SocketAddrV4::new(host, PORT),
-            network: world.network(host),
+            network,
             control: Rc::new(RefCell::new(control)),
             ran: Rc::default(),
             call_seq: Rc::default(),
--- a/tier/simulation/src/lib.rs
+++ b/tier/simulation/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod client;
 mod cluster;
 mod engine;
+pub mod machine;
 mod network;
 mod timeline;
 
