--- a/tier/control/src/heartbeats.rs
+++ b/tier/control/src/heartbeats.rs
@@ -5,6 +5,7 @@
 use log::info;
 use pointcross_tier_protocol::InstanceState;
 use pointcross_tier_protocol::instance::Heartbeat;
+use pointcross_tier_runtime::defect::{Defect, is_in};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -25,6 +26,9 @@
     }
     let instance = heartbeat.instance(id.to_owned());
     let is_final = instance.state >= InstanceState::Draining;
+    if is_final && is_in(Defect::DrainingToldToNobody) {
+        return Reply::json("{}");
+    }
     let service = instance.service.clone();
     let state = instance.state;
     let is_new_here = member.heard.borrow_mut().hear(id, instance.call_seq);
--- a/tier/control/src/member.rs
+++ b/tier/control/src/member.rs
@@ -8,6 +8,7 @@
 use pointcross_tier_protocol::settings::InternalPort;
 use pointcross_tier_protocol::{Directory, Settings};
 use pointcross_tier_register::{Ballot, Group, MemberId, Value};
+use pointcross_tier_runtime::defect::{Defect, is_in};
 use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::follow::SharedView;
 use pointcross_tier_runtime::random;
@@ -71,7 +72,7 @@
         let seeds = settings.seed_addresses(InternalPort::Member);
         let own = settings.internal_address(InternalPort::Member);
         let first_group = Group::first(&seeds);
-        let is_first = settings.bootstrap && seeds.contains(&own);
+        let is_first = (settings.bootstrap || is_in(Defect::VoteUnderOldName)) && seeds.contains(&own);
         let first_value = is_first.then(|| Value {
             group: first_group.clone(),
             previous_group: first_group.clone(),
--- a/tier/control/src/operator.rs
+++ b/tier/control/src/operator.rs
@@ -7,6 +7,7 @@
 use log::info;
 use pointcross_tier_protocol::directory::{ReplaceOutcome, RetireOutcome};
 use pointcross_tier_protocol::{Configuration, StoreState};
+use pointcross_tier_runtime::defect::{Defect, is_in};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -28,6 +29,10 @@
     let version = configuration.version;
     let deadline = Instant::now() + ORDER_WITHIN;
     let outcome = proposer::change_directory(member, deadline, |directory| {
+        let base = if is_in(Defect::TakeAnyBase) { directory.configuration_version } else { base };
+        if is_in(Defect::RefuseRepeatedOrder) {
+            directory.taken.clear();
+        }
         let outcome = directory.replace(base, version, &body);
         (outcome == ReplaceOutcome::Taken, outcome)
     });
--- a/tier/control/src/voter.rs
+++ b/tier/control/src/voter.rs
@@ -3,6 +3,7 @@
 use log::{error, info};
 use pointcross_tier_protocol::Directory;
 use pointcross_tier_register::{Acceptor, AcceptorReply, AcceptorRequest, Ballot, Durable, Group, Value};
+use pointcross_tier_runtime::defect::{Defect, is_in};
 use pointcross_tier_runtime::worker::{Worker, WorkerMode};
 use pointcross_tier_runtime::{random, rpc};
 use pointcross_tier_storage::{Ring, RingFault, RingLayout};
@@ -111,6 +112,9 @@
     pub async fn vote(&self, request: AcceptorRequest<Directory>) -> Option<AcceptorReply<Directory>> {
         let handled = self.acceptor.borrow_mut().handle(request);
         if let Some(vote) = handled.write {
+            if is_in(Defect::VoteWithoutDisk) {
+                return Some(handled.reply);
+            }
             let (done, written) = oneshot::channel();
             self.writes.order(Write { vote, done });
             written.await.ok()?;
--- a/tier/proxy/src/budget.rs
+++ b/tier/proxy/src/budget.rs
@@ -4,6 +4,7 @@
 use pointcross_tier_protocol::StoreEntry;
 use pointcross_tier_protocol::messages::{StoreCall, StoreReply};
 use pointcross_tier_protocol::turns::Reservation;
+use pointcross_tier_runtime::defect::{Defect, is_in};
 use pointcross_tier_sessions::budget::{Reservations, Verdict, decide};
 use pointcross_tier_sessions::placement;
 use std::net::SocketAddrV4;
@@ -57,6 +58,9 @@
     let granted = Granted { proxy: proxy.clone(), turn, settled: false };
     let Some(mut seen) = written else { return Err(BudgetFault::Unknown) };
     let turn = &granted.turn;
+    if is_in(Defect::IgnoreOtherAttempts) {
+        return Ok(granted);
+    }
     let mut verdict = decide(turn.budget, turn.most, seen.held_by_others(&turn.attempt), false);
     if verdict == Verdict::ReadAgain {
         let Some(read) = ask_majority(proxy, &turn.program, None, deadline).await else {
--- a/tier/proxy/src/request.rs
+++ b/tier/proxy/src/request.rs
@@ -16,6 +16,7 @@
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use log::debug;
+use pointcross_tier_runtime::defect::{Defect, is_in};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -57,6 +58,7 @@
             Ok(answer)
         }
         Answered::Stream(begun) => Ok(stream::pass_on(attempts, *begun, retained, granted)),
+        Answered::Broken(_) if is_in(Defect::PromiseAfterRun) => Ok(answer::refusal("", SOON_MS)),
         Answered::Broken(status) => {
             // What a broken attempt generated never reached the client.
             settle(granted, 0);
--- a/tier/proxy/src/request/attempt.rs
+++ b/tier/proxy/src/request/attempt.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use pointcross_tier_protocol::headers;
 use pointcross_tier_routing::{AttemptEnd, LoadReport};
+use pointcross_tier_runtime::defect::{Defect, is_in};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -148,7 +149,9 @@
             match self.attempt(&instance, foreseen, None).await {
                 Tried::Answered(answered) => return answered,
                 Tried::NotRun => {}
-                Tried::MayHaveRun if self.context.may_run_again() => may_have_run = true,
+                Tried::MayHaveRun if self.context.may_run_again() || is_in(Defect::RunAgain) => {
+                    may_have_run = true
+                }
                 Tried::MayHaveRun => return Answered::Broken(self.broken_status()),
             }
         }
--- a/tier/proxy/src/turns.rs
+++ b/tier/proxy/src/turns.rs
@@ -5,6 +5,7 @@
 use pointcross_tier_protocol::StoreEntry;
 use pointcross_tier_protocol::messages::{StoreCall, StoreReply};
 use pointcross_tier_protocol::turns::{TurnId, TurnRecord};
+use pointcross_tier_runtime::defect::{Defect, is_in};
 use pointcross_tier_sessions::placement;
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
@@ -118,6 +119,9 @@
         next = found.last().and_then(|oldest| oldest.previous.clone());
         records.extend(found);
     }
+    if is_in(Defect::DropOldestTurn) && records.len() > 1 {
+        records.pop();
+    }
     let placement = records.last().map_or_else(|| program.to_owned(), |oldest| oldest.placement.clone());
     let mut text = BytesMut::with_capacity(records.iter().map(|record| record.text.len()).sum());
     for record in records.iter().rev() {
@@ -194,7 +198,7 @@
 
 /// Puts a turn on as many disks as it needs. Gives whether it is safe.
 pub async fn keep(proxy: &Rc<Proxy>, mut record: TurnRecord, deadline: Instant) -> bool {
-    let wanted = proxy.stores.copies;
+    let wanted = if is_in(Defect::OneCopy) { 1 } else { proxy.stores.copies };
     let mut safe: Vec<String> = Vec::new();
     let (sender, mut replies) = mpsc::unbounded_channel();
     while safe.len() < wanted && Instant::now() < deadline {
--- /dev/null
+++ b/tier/runtime/src/defect.rs
@@ -0,0 +1,71 @@
+//! Deliberate defects, to show that the simulator's checker catches them. Builds without the feature `defects` have
+//! none: the question whether one is there is then answered at compile time.
+
+/// A defect of the code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// A vote leaves before it is on disk, and is never written.
+    VoteWithoutDisk,
+    /// A member that lost its disk votes under its old name.
+    VoteUnderOldName,
+    /// A configuration is taken whatever it builds on.
+    TakeAnyBase,
+    /// A configuration that was taken is refused when it is sent again.
+    RefuseRepeatedOrder,
+    /// An instance's draining is acknowledged, and told to nobody.
+    DrainingToldToNobody,
+    /// A turn counts as safe on one disk.
+    OneCopy,
+    /// What other attempts hold of a budget is not looked at.
+    IgnoreOtherAttempts,
+    /// The oldest turn of a chain is left out.
+    DropOldestTurn,
+    /// A request that may have run is sent to another server.
+    RunAgain,
+    /// A request that may have run gets a promise that it has not.
+    PromiseAfterRun,
+}
+
+impl Defect {
+    /// All of them.
+    pub const ALL: [Defect; 10] = [
+        Defect::VoteWithoutDisk,
+        Defect::VoteUnderOldName,
+        Defect::TakeAnyBase,
+        Defect::RefuseRepeatedOrder,
+        Defect::DrainingToldToNobody,
+        Defect::OneCopy,
+        Defect::IgnoreOtherAttempts,
+        Defect::DropOldestTurn,
+        Defect::RunAgain,
+        Defect::PromiseAfterRun,
+    ];
+
+    /// The defect of this name.
+    pub fn named(name: &str) -> Option<Defect> {
+        Defect::ALL.into_iter().find(|defect| format!("{defect:?}") == name)
+    }
+}
+
+#[cfg(feature = "defects")]
+thread_local! {
+    static PRESENT: std::cell::Cell<Option<Defect>> = const { std::cell::Cell::new(None) };
+}
+
+/// Puts a defect in, for what runs on this thread; `None` takes it out.
+#[cfg(feature = "defects")]
+pub fn put_in(defect: Option<Defect>) {
+    PRESENT.set(defect);
+}
+
+/// Whether this defect is in.
+#[cfg(feature = "defects")]
+pub fn is_in(defect: Defect) -> bool {
+    PRESENT.get() == Some(defect)
+}
+
+/// Whether this defect is in: never, in a build without the feature.
+#[cfg(not(feature = "defects"))]
+pub const fn is_in(_: Defect) -> bool {
+    false
+}
--- a/tier/runtime/src/lib.rs
+++ b/tier/runtime/src/lib.rs
@@ -5,6 +5,7 @@
 //! state is shared without locks.
 #![warn(missing_docs)]
 
+pub mod defect;
 pub mod environment;
 pub mod follow;
 pub mod log;
--- a/tier/simulation/src/bin/simulate-tier.rs
+++ b/tier/simulation/src/bin/simulate-tier.rs
@@ -1,11 +1,11 @@
 //! Plays days of random load and faults in virtual time: `simulate-tier --seeds N --from S`.
 
 use getopts::Options;
-use pointcross_tier_simulation::chaos::{self, DayReport};
+use pointcross_tier_simulation::chaos::{self, DayReport, Defect};
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 
-const USAGE: &str = "Usage: simulate-tier [--seeds N] [--from SEED] [--timeline]
+const USAGE: &str = "Usage: simulate-tier [--seeds N] [--from SEED] [--broken NAME] [--timeline]
 
 Plays the days of N seeds, one process after the other, and prints one line of JSON.";
 
@@ -13,6 +13,7 @@
     seeds: u64,
     from: u64,
     timeline: bool,
+    defect: Option<Defect>,
 }
 
 fn wanted() -> Result<Option<Wanted>, String> {
@@ -20,6 +21,8 @@
     options.optopt("", "seeds", "days to play (100)", "N");
     options.optopt("", "from", "the first seed (1)", "SEED");
     options.optflag("", "timeline", "prints what happened on each day");
+    options.optopt("", "broken", "plays code with this defect, until a rule is broken", "NAME");
+    options.optflag("", "list-broken", "lists the defects");
     options.optflag("h", "help", "prints this");
     let given: Vec<String> = std::env::args().skip(1).collect();
     let matches = options.parse(given).map_err(|fault| fault.to_string())?;
@@ -27,12 +30,20 @@
         println!("{}", options.usage(USAGE));
         return Ok(None);
     }
+    if matches.opt_present("list-broken") {
+        Defect::ALL.iter().for_each(|defect| println!("{defect:?}"));
+        return Ok(None);
+    }
+    let defect = match matches.opt_str("broken") {
+        Some(name) => Some(Defect::named(&name).ok_or_else(|| format!("--broken: {name} is no defect"))?),
+        None => None,
+    };
     let number = |name: &str, usual: u64| match matches.opt_str(name) {
         Some(text) => text.parse().map_err(|_| format!("--{name}: {text} is no number")),
         None => Ok(usual),
     };
     let timeline = matches.opt_present("timeline");
-    Ok(Some(Wanted { seeds: number("seeds", 100)?, from: number("from", 1)?, timeline }))
+    Ok(Some(Wanted { seeds: number("seeds", 100)?, from: number("from", 1)?, timeline, defect }))
 }
 
 /// FNV-1a over what happened: the same on a second run.
@@ -53,7 +64,10 @@
     let mut broken: Vec<String> = Vec::new();
     let (mut operations, mut served, mut virtual_hours, mut ledger_hash) = (0, 0, 0.0, 0xcbf2_9ce4_8422_2325);
     for seed in wanted.from..wanted.from + wanted.seeds {
-        let report: DayReport = chaos::play(seed);
+        let report: DayReport = match wanted.defect {
+            Some(defect) => chaos::play_broken(seed, defect),
+            None => chaos::play(seed),
+        };
         operations += report.operations;
         served += report.served;
         virtual_hours += report.virtual_time.as_secs_f64() / 3600.0;
@@ -68,6 +82,9 @@
             broken.push(format!("{{\"seed\":{seed},\"invariant\":\"{:?}\"}}", violation.invariant));
             eprintln!("seed {seed}: {:?}: {}", violation.invariant, violation.text);
         }
+        if wanted.defect.is_some() && !report.violations.is_empty() {
+            break;
+        }
     }
     let faults: usize = kinds.values().sum();
     let kinds: Vec<String> = kinds.iter().map(|(kind, count)| format!("\"{kind}\":{count}")).collect();
--- a/tier/simulation/src/chaos.rs
+++ b/tier/simulation/src/chaos.rs
@@ -10,6 +10,8 @@
 use crate::engine::Engine;
 use faults::FaultPlan;
 use ledger::Ledger;
+use pointcross_tier_runtime::defect;
+pub use pointcross_tier_runtime::defect::Defect;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
@@ -52,6 +54,14 @@
     run(seed, day(seed))
 }
 
+/// Plays the day of a seed on code with a defect.
+pub fn play_broken(seed: u64, defect: Defect) -> DayReport {
+    defect::put_in(Some(defect));
+    let report = play(seed);
+    defect::put_in(None);
+    report
+}
+
 async fn day(seed: u64) -> DayReport {
     let begun = Instant::now();
     let mut cluster = Cluster::start();
--- a/tier/simulation/src/chaos/faults.rs
+++ b/tier/simulation/src/chaos/faults.rs
@@ -28,9 +28,10 @@
     KillAllOfTheCore,
     PowerOffAll,
     DrainEngine,
+    LoseAnswers,
 }
 
-const KINDS: [Kind; 11] = [
+const KINDS: [Kind; 12] = [
     Kind::KillFront,
     Kind::KillCounted,
     Kind::PowerOffCounted,
@@ -42,9 +43,14 @@
     Kind::KillAllOfTheCore,
     Kind::PowerOffAll,
     Kind::DrainEngine,
+    Kind::LoseAnswers,
 ];
 
 impl Kind {
+    fn harms_machines(self) -> bool {
+        !matches!(self, Kind::DrainEngine | Kind::LoseAnswers)
+    }
+
     fn name(self) -> &'static str {
         match self {
             Kind::KillFront => "kill_front",
@@ -58,6 +64,7 @@
             Kind::KillAllOfTheCore => "kill_all_of_the_core",
             Kind::PowerOffAll => "power_off_all",
             Kind::DrainEngine => "drain_engine",
+            Kind::LoseAnswers => "lose_answers",
         }
     }
 }
@@ -96,12 +103,12 @@
         while Instant::now() < stop_at {
             cluster.pass(Duration::from_millis(200 + random::below(2500))).await;
             let kind = KINDS[random::below(KINDS.len() as u64) as usize];
-            if !matches!(kind, Kind::DrainEngine) {
+            if kind.harms_machines() {
                 ledger.trouble();
             }
             *self.counts.entry(kind.name()).or_default() += 1;
             self.one(kind, cluster, ledger, engines).await;
-            if !matches!(kind, Kind::DrainEngine) {
+            if kind.harms_machines() {
                 ledger.trouble();
             }
         }
@@ -175,6 +182,13 @@
                 all.iter().for_each(|name| cluster.restart(name));
                 cluster.pass(CATCH_UP).await;
             }
+            Kind::LoseAnswers => {
+                let engine = &engines[random::below(engines.len() as u64) as usize];
+                engine.lose_answers(10);
+                cluster.timeline.note(&engine.id, "loses answers");
+                cluster.pass(down).await;
+                engine.lose_answers(0);
+            }
             Kind::DrainEngine => {
                 // One stays.
                 if self.drained + 1 < engines.len() {
--- a/tier/simulation/src/chaos/load.rs
+++ b/tier/simulation/src/chaos/load.rs
@@ -15,6 +15,8 @@
 const FRONTS: [&str; 2] = ["front-1", "front-2"];
 /// Control members that the operator knows.
 const MEMBERS: [&str; 3] = ["core-1", "core-2", "core-3"];
+/// At times the operator is quiet for so long: nothing brings a member that was away up to date meanwhile.
+const LONG_PAUSE_MS: u64 = 5000;
 /// How long an order may go without a clear answer before the operator gives it up.
 const ORDER_WITHIN: Duration = Duration::from_secs(8);
 
@@ -158,6 +160,9 @@
         }
         current = read_back(&caller, current, stop_at).await;
         next = next.max(current + 1);
+        if random::below(5) == 0 {
+            pause(LONG_PAUSE_MS, LONG_PAUSE_MS).await;
+        }
         pause(300, 1500).await;
     }
 }
--- a/tier/simulation/src/engine.rs
+++ b/tier/simulation/src/engine.rs
@@ -10,8 +10,8 @@
 use hyper_util::rt::TokioIo;
 use pointcross_tier_protocol::headers;
 use pointcross_tier_runtime::network::{Network, Stream};
+use pointcross_tier_runtime::random;
 use std::cell::{Cell, RefCell};
-use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +29,18 @@
 /// The port that requests come to.
 const PORT: u16 = 8000;
 
+/// The request ran, and its answer goes nowhere.
+#[derive(Clone, Copy, Debug)]
+struct AnswerLost;
+
+impl std::fmt::Display for AnswerLost {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("the answer is lost")
+    }
+}
+
+impl std::error::Error for AnswerLost {}
+
 /// A request that was run.
 #[derive(Clone, Debug)]
 pub struct RanRequest {
@@ -52,6 +64,7 @@
     ran: Rc<RefCell<Vec<RanRequest>>>,
     call_seq: Rc<Cell<u64>>,
     state: Rc<Cell<&'static str>>,
+    answers_lost: Rc<Cell<u64>>,
     tasks: Rc<RefCell<Vec<AbortHandle>>>,
 }
 
@@ -78,6 +91,7 @@
             ran: Rc::default(),
             call_seq: Rc::default(),
             state: Rc::new(Cell::new("ready")),
+            answers_lost: Rc::default(),
             tasks: Rc::default(),
         };
         let mut listener = engine.network.listen(engine.address).expect("a free address");
@@ -98,6 +112,11 @@
         engine
     }
 
+    /// So many of a hundred requests run and have their connection closed in place of an answer.
+    pub fn lose_answers(&self, of_a_hundred: u64) {
+        self.answers_lost.set(of_a_hundred);
+    }
+
     /// What it ran, in order.
     pub fn ran(&self) -> Vec<RanRequest> {
         self.ran.borrow().clone()
@@ -144,7 +163,7 @@
             .await;
     }
 
-    async fn answer(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, AnswerLost> {
         let header = |name: &str| {
             request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
         };
@@ -158,6 +177,9 @@
         let body = String::from_utf8_lossy(&body).into_owned();
         self.ran.borrow_mut().push(RanRequest { attempt: attempt.clone(), body, at: Instant::now() });
         tokio::time::sleep(RUNS_FOR).await;
+        if self.answers_lost.get() > 0 && random::below(100) < self.answers_lost.get() {
+            return Err(AnswerLost);
+        }
         let events: String =
             (1..=EVENTS).map(|event| format!("id: {event}\ndata: {attempt}.{event}\n\n")).collect();
         let response = Response::builder()
