Keep sessions where their prompts are kept when engines are loaded

Each request there was priced at 12 ms, so sessions moved to emptier servers, which read their prompts again, which loaded the engines more: it did not end by itself.

Change: a request there costs 4 ms and one that waits 30; reading a prompt counts by an eighth more for each request that it holds up.

--- a/tier/routing/src/server.rs
+++ b/tier/routing/src/server.rs
@@ -134,6 +134,14 @@
         }
     }
 
+    /// Requests that wait there for a place, as far as it told lately.
+    pub fn waiting(&self, now: f64, report_lasts: f64) -> f64 {
+        match &self.report {
+            Some((at, report, _)) if now - at < report_lasts => f64::from(report.waiting),
+            _ => 0.0,
+        }
+    }
+
     /// Tokens of this prompt that its cache holds, as far as this proxy filled it.
     pub fn cached_tokens(&self, parts: &[(u64, u64)]) -> u64 {
         let kept = parts.iter().take_while(|(key, _)| self.parts.contains_key(key));
--- a/tier/routing/src/servers.rs
+++ b/tier/routing/src/servers.rs
@@ -11,8 +11,14 @@
 const READ_PER_MS: f64 = 40.0;
 /// What a request costs at an idle server beside its tokens, in milliseconds.
 const BASE_MS: f64 = 25.0;
-/// What each request that is there already adds to the time of another, in milliseconds, at an engine.
-const ENGINE_LOAD_MS: f64 = 12.0;
+/// What each request that is there already adds to the time of another, in milliseconds, at an engine: it runs in the
+/// same batch, and reads a part of its prompt in between.
+const ENGINE_LOAD_MS: f64 = 4.0;
+/// What each request that waits for a place there adds.
+const ENGINE_WAITING_MS: f64 = 30.0;
+/// Reading a prompt holds up all that run there: its time counts by this part more for each of them. Under load this
+/// keeps sessions where their prompts are kept; moving them makes more to read, and more load.
+const READ_HOLDS_UP: f64 = 0.12;
 /// The price of another zone: the way there and back, and the bytes, in milliseconds.
 const OTHER_ZONE_MS: f64 = 10.0;
 /// The advantage of the server that a first part hashes to, so that proxies fill the same caches.
@@ -132,7 +138,9 @@
         let there = f64::from(server.out) + server.others(now, REPORT_LASTS);
         let own_time = self.foreseen(server, demand) * server.time_factor;
         let load = if demand.prompt.is_some() {
-            there * ENGINE_LOAD_MS * server.time_factor
+            let held_up = (self.foreseen(server, demand) - BASE_MS) * READ_HOLDS_UP * there;
+            let waiting = server.waiting(now, REPORT_LASTS) * ENGINE_WAITING_MS;
+            there * ENGINE_LOAD_MS * server.time_factor + held_up + waiting
         } else {
             own_time * there / f64::from(server.instance.capacity)
         };
