Weigh prompts kept and a shared home more, requests there less

Change: a request there costs 3 ms, reading counts by three tenths more for each request held up, the first part's home 20 ms.

--- a/tier/routing/src/servers.rs
+++ b/tier/routing/src/servers.rs
@@ -13,16 +13,16 @@
 const BASE_MS: f64 = 25.0;
 /// What each request that is there already adds to the time of another, in milliseconds, at an engine: it runs in the
 /// same batch, and reads a part of its prompt in between.
-const ENGINE_LOAD_MS: f64 = 4.0;
+const ENGINE_LOAD_MS: f64 = 3.0;
 /// What each request that waits for a place there adds.
 const ENGINE_WAITING_MS: f64 = 30.0;
 /// Reading a prompt holds up all that run there: its time counts by this part more for each of them. Under load this
 /// keeps sessions where their prompts are kept; moving them makes more to read, and more load.
-const READ_HOLDS_UP: f64 = 0.12;
+const READ_HOLDS_UP: f64 = 0.3;
 /// The price of another zone: the way there and back, and the bytes, in milliseconds.
 const OTHER_ZONE_MS: f64 = 10.0;
 /// The advantage of the server that a first part hashes to, so that proxies fill the same caches.
-const HOME_MS: f64 = 8.0;
+const HOME_MS: f64 = 20.0;
 /// How long a server's own report of its load is believed, in milliseconds.
 const REPORT_LASTS: f64 = 1000.0;
 /// What a certain failure costs, in milliseconds: the request is made again, or is lost.
