Walk small worlds of the register whole

Need: every order of deliveries, not only those of a timeline.

Change: stateright over the register's own acceptors and proposals: two changes and a read; a change and a read with a disk wiped, answers lost and a message doubled; a change and a read round a change of members. A member that keeps its name over a lost disk is found by the second.

--- a/tier/register/src/acceptor.rs
+++ b/tier/register/src/acceptor.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// A proposer's message to an acceptor.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum AcceptorRequest<T> {
     /// First round: promise to ignore lower ballots, and tell what was accepted.
     Prepare {
@@ -27,7 +27,7 @@
 }
 
 /// An acceptor's answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum AcceptorReply<T> {
     /// Promised. The accepted value is left out where the proposer has it.
     Promised {
@@ -48,7 +48,7 @@
 }
 
 /// What has to be on disk before an acceptor's answer leaves.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Durable<T> {
     /// A promise.
     Promise(Ballot),
@@ -57,7 +57,7 @@
 }
 
 /// What comes of a message.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Handled<T> {
     /// To be written and synced before the reply leaves.
     pub write: Option<Durable<T>>,
@@ -66,7 +66,7 @@
 }
 
 /// The state of an acceptor.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Acceptor<T> {
     disk: u64,
     promised: Ballot,
--- a/tier/register/src/group.rs
+++ b/tier/register/src/group.rs
@@ -15,7 +15,7 @@
 }
 
 /// A group of members.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Group {
     /// Rises by one with each change of members.
     pub epoch: u64,
--- a/tier/register/src/lib.rs
+++ b/tier/register/src/lib.rs
@@ -25,7 +25,7 @@
 pub use proposal::{Outcome, Proposal, Send, Step};
 
 /// What the register holds, with the members that vote on it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct Value<T> {
     /// The members.
     pub group: Group,
--- a/tier/register/src/proposal.rs
+++ b/tier/register/src/proposal.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 /// A message to a member.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Send<T> {
     /// Its receiver.
     pub to: MemberId,
@@ -13,7 +13,7 @@
 }
 
 /// How a proposal ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Outcome<T> {
     /// This value is in force: accepted by every majority that it needs.
     InForce {
@@ -40,7 +40,7 @@
 }
 
 /// What a proposal wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Step<T> {
     /// Send these, and feed back what comes.
     Send(Vec<Send<T>>),
@@ -52,7 +52,7 @@
     End(Outcome<T>),
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Round {
     Prepare,
     Decide,
@@ -61,7 +61,7 @@
 }
 
 /// A change under way. Members' answers come in by [`Proposal::reply`] and [`Proposal::failed`].
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Proposal<T> {
     ballot: Ballot,
     /// The newest group known to be in force.
--- /dev/null
+++ b/tier/register/tests/model.rs
@@ -0,0 +1,301 @@
+//! Small worlds of the register, walked whole: every order of deliveries, with messages and answers lost, one
+//! message doubled, one disk wiped, and one change of members.
+//!
+//! A message is delivered and answered in one step or, where a world says so, delivered and its answer lost; a message
+//! that is never delivered is lost. Each proposer makes one attempt.
+
+use pointcross_tier_register::{
+    Acceptor, AcceptorReply, Ballot, Group, MemberId, Outcome, Proposal, Send, Step, Value,
+};
+use stateright::{Checker, Model, Property};
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+type Number = u8;
+
+fn address(member: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, member + 1), 1)
+}
+
+fn first_group() -> Group {
+    Group::first(&[address(0), address(1), address(2)])
+}
+
+/// What a proposer is after.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Aim {
+    /// Put this number in force where 0 is.
+    Change(Number),
+    /// Read.
+    Read,
+    /// Replace the second member by the process with the new disk.
+    ReplaceMember,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Proposer {
+    aim: Aim,
+    proposal: Option<Proposal<Number>>,
+    messages: Vec<Send<Number>>,
+    /// Its own change was part of what it proposed.
+    wrote: bool,
+    outcome: Option<Outcome<Number>>,
+    /// Changes that were in force for certain before it started.
+    known_before: Vec<Number>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    /// The last one is the process that is no member at first.
+    acceptors: Vec<Acceptor<Number>>,
+    proposers: Vec<Proposer>,
+    may_wipe: bool,
+    may_double: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Delivery {
+    Answered,
+    AnswerLost,
+    Doubled,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Action {
+    Start { proposer: usize, knows_newest_group: bool },
+    Deliver { proposer: usize, message: usize, how: Delivery },
+    Wipe,
+}
+
+/// The disk of the member that was wiped, and the one of the process that replaces it.
+const NEW_DISK: u64 = 9;
+
+struct World {
+    aims: Vec<Aim>,
+    may_wipe: bool,
+    may_double: bool,
+    may_lose_answers: bool,
+    /// A wiped member keeps its name: the mistake that the names guard against.
+    forgets_its_name: bool,
+}
+
+impl World {
+    fn start(&self, state: &mut State, index: usize, knows_newest_group: bool) {
+        let newest = state.proposers.iter().filter_map(|proposer| match &proposer.outcome {
+            Some(Outcome::InForce { value, .. }) => Some(value.group.clone()),
+            _ => None,
+        });
+        let newest = newest.max_by_key(|group| group.epoch).filter(|_| knows_newest_group);
+        let group = newest.unwrap_or_else(first_group);
+        let ballot = Ballot { counter: index as u64 + 1, proposer: index as u64 };
+        let in_force = state.proposers.iter().filter(|other| other.wrote && is_in_force(other));
+        let known_before = in_force.filter_map(|other| match other.aim {
+            Aim::Change(number) => Some(number),
+            Aim::Read | Aim::ReplaceMember => None,
+        });
+        let known_before: Vec<Number> = known_before.collect();
+        let (proposal, messages) = Proposal::start(ballot, group, None);
+        let proposer = &mut state.proposers[index];
+        proposer.proposal = Some(proposal);
+        proposer.messages = messages;
+        proposer.known_before = known_before;
+    }
+
+    fn feed(proposer: &mut Proposer, step: Step<Number>) {
+        match step {
+            Step::Wait => {}
+            Step::Send(more) => proposer.messages.extend(more),
+            Step::End(outcome) => {
+                proposer.outcome = Some(outcome);
+                proposer.messages.clear();
+            }
+            Step::Read(read) => {
+                let proposal = proposer.proposal.as_mut().expect("it has started");
+                let mut value = read.clone();
+                match proposer.aim {
+                    Aim::Change(number) if read.state == 0 => {
+                        value.state = number;
+                        proposer.wrote = true;
+                    }
+                    Aim::ReplaceMember if proposal.may_change_group() && read.group.epoch == 0 => {
+                        let leaving = MemberId { address: address(1), disk: 0 };
+                        let joining = MemberId { address: address(3), disk: NEW_DISK };
+                        value.group = read.group.changed(Some(leaving), Some(joining));
+                        proposer.wrote = true;
+                    }
+                    _ => {}
+                }
+                if proposal.may_change_group() {
+                    value.previous_group = read.group;
+                }
+                proposer.messages = proposal.propose(value);
+            }
+        }
+    }
+
+    fn deliver(state: &mut State, index: usize, message: usize, how: Delivery) {
+        let proposer = &mut state.proposers[index];
+        let send = match how {
+            Delivery::Doubled => proposer.messages[message].clone(),
+            Delivery::Answered | Delivery::AnswerLost => proposer.messages.remove(message),
+        };
+        let member = (0..state.acceptors.len()).find(|&at| address(at as u8) == send.to.address);
+        let reply = match member {
+            Some(member) => state.acceptors[member].handle(send.request).reply,
+            None => AcceptorReply::OtherDisk,
+        };
+        if how == Delivery::Answered {
+            let proposal = proposer.proposal.as_mut().expect("it has started");
+            let step = proposal.reply(send.to, reply);
+            Self::feed(proposer, step);
+        }
+    }
+}
+
+fn is_in_force(proposer: &Proposer) -> bool {
+    matches!(proposer.outcome, Some(Outcome::InForce { .. }))
+}
+
+impl Model for World {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let initial = Value { group: first_group(), previous_group: first_group(), state: 0 };
+        let mut acceptors = vec![Acceptor::new(0, Some(initial)); 3];
+        acceptors.push(Acceptor::new(NEW_DISK, None));
+        let proposer = |&aim: &Aim| Proposer {
+            aim,
+            proposal: None,
+            messages: Vec::new(),
+            wrote: false,
+            outcome: None,
+            known_before: Vec::new(),
+        };
+        let proposers = self.aims.iter().map(proposer).collect();
+        vec![State { acceptors, proposers, may_wipe: self.may_wipe, may_double: self.may_double }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        for (index, proposer) in state.proposers.iter().enumerate() {
+            if proposer.proposal.is_none() {
+                actions.push(Action::Start { proposer: index, knows_newest_group: false });
+                let epochs_differ = state.proposers.iter().any(|other| {
+                    matches!(&other.outcome, Some(Outcome::InForce { value, .. }) if value.group.epoch > 0)
+                });
+                if epochs_differ {
+                    actions.push(Action::Start { proposer: index, knows_newest_group: true });
+                }
+            }
+            for message in 0..proposer.messages.len() {
+                actions.push(Action::Deliver { proposer: index, message, how: Delivery::Answered });
+                if self.may_lose_answers {
+                    actions.push(Action::Deliver { proposer: index, message, how: Delivery::AnswerLost });
+                }
+                if state.may_double {
+                    actions.push(Action::Deliver { proposer: index, message, how: Delivery::Doubled });
+                }
+            }
+        }
+        if state.may_wipe {
+            actions.push(Action::Wipe);
+        }
+    }
+
+    fn next_state(&self, state: &State, action: Action) -> Option<State> {
+        let mut next = state.clone();
+        match action {
+            Action::Start { proposer, knows_newest_group } => {
+                self.start(&mut next, proposer, knows_newest_group);
+            }
+            Action::Deliver { proposer, message, how } => {
+                next.may_double &= how != Delivery::Doubled;
+                World::deliver(&mut next, proposer, message, how);
+            }
+            Action::Wipe => {
+                next.may_wipe = false;
+                let initial = Value { group: first_group(), previous_group: first_group(), state: 0 };
+                next.acceptors[1] = match self.forgets_its_name {
+                    true => Acceptor::new(0, Some(initial)),
+                    false => Acceptor::new(NEW_DISK, None),
+                };
+            }
+        }
+        Some(next)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("one of two changes on one value is in force", |_, state: &State| {
+                let changes = state.proposers.iter().filter(|proposer| {
+                    matches!(proposer.aim, Aim::Change(_)) && proposer.wrote && is_in_force(proposer)
+                });
+                changes.count() <= 1
+            }),
+            Property::always("what was in force before is seen", |_, state: &State| {
+                state.proposers.iter().all(|proposer| match &proposer.outcome {
+                    Some(Outcome::InForce { value, .. }) => {
+                        proposer.known_before.iter().all(|number| value.state == *number)
+                    }
+                    _ => true,
+                })
+            }),
+        ]
+    }
+}
+
+/// Walks a world whole; gives how many states it has.
+fn walk(world: World) -> usize {
+    let checker = world.checker().spawn_bfs().join();
+    checker.assert_properties();
+    assert!(checker.is_done());
+    checker.unique_state_count()
+}
+
+#[test]
+fn two_changes_and_a_read() {
+    let world = World {
+        aims: vec![Aim::Change(1), Aim::Change(2), Aim::Read],
+        may_wipe: false,
+        may_double: false,
+        may_lose_answers: false,
+        forgets_its_name: false,
+    };
+    println!("{} states", walk(world));
+}
+
+#[test]
+fn a_change_and_a_read_with_a_wiped_disk_and_a_doubled_message() {
+    let world = World {
+        aims: vec![Aim::Change(1), Aim::Read],
+        may_wipe: true,
+        may_double: true,
+        may_lose_answers: true,
+        forgets_its_name: false,
+    };
+    println!("{} states", walk(world));
+}
+
+#[test]
+fn a_change_and_a_read_round_a_change_of_members() {
+    let world = World {
+        aims: vec![Aim::Change(1), Aim::ReplaceMember, Aim::Read],
+        may_wipe: false,
+        may_double: false,
+        may_lose_answers: false,
+        forgets_its_name: false,
+    };
+    println!("{} states", walk(world));
+}
+
+#[test]
+fn a_wiped_member_that_keeps_its_name_is_caught() {
+    let world = World {
+        aims: vec![Aim::Change(1), Aim::Read],
+        may_wipe: true,
+        may_double: false,
+        may_lose_answers: false,
+        forgets_its_name: true,
+    };
+    let checker = world.checker().spawn_bfs().join();
+    assert!(checker.discovery("what was in force before is seen").is_some());
+}
