Give operators commands: check, get and apply configurations, retire, inspect

Need: the parts of a product; ureq was named for the operator's calls and not used.

Change: the command line is parsed in a module of its own; config check|get|apply, retire start|status, inspect, with errors that name the next step. What serves is started as before.

--- /dev/null
+++ b/tier/cli/src/arguments.rs
@@ -0,0 +1,141 @@
+//! The command line.
+
+use getopts::{Matches, Options};
+use log::LevelFilter;
+use std::path::PathBuf;
+
+/// How the program is called.
+pub const USAGE: &str =
+    "Usage: pointcross-tier COMMAND [--settings FILE] [--log LEVEL] [--control ADDRESS] [--base VERSION]
+
+Roles, started by the platform:
+  proxy                 serves clients
+  agent                 follows the control plane and feeds the proxy on the same machine
+  control               a member of the control plane
+  store                 keeps turns and budgets
+
+For operators:
+  check                 checks the settings file and ends
+  config check FILE     checks a configuration
+  config get            prints the newest configuration
+  config apply FILE     puts a configuration in force that builds on --base
+  retire start NODE     begins to empty a store
+  retire status NODE    tells how far that is
+  inspect FOLDER        tells what a data folder holds";
+
+/// A role that serves until it is told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Serves clients.
+    Proxy,
+    /// Feeds a proxy.
+    Agent,
+    /// A member of the control plane.
+    Control,
+    /// Keeps turns and budgets.
+    Store,
+    /// Only checks its settings.
+    Check,
+}
+
+/// What an operator asks of the control plane.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// The newest configuration.
+    Get,
+    /// Put this file's configuration in force.
+    Apply {
+        /// The file.
+        file: PathBuf,
+        /// The version that it builds on.
+        base: u64,
+    },
+    /// Empty a store.
+    StartRetire(String),
+    /// How far that is.
+    RetireStatus(String),
+}
+
+/// A whole command line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Serve.
+    Serve {
+        /// As what.
+        role: Role,
+        /// The role as it was written.
+        name: String,
+        /// The settings file, where not the one that the environment names.
+        settings: Option<PathBuf>,
+        /// The least urgent lines that are logged.
+        level: LevelFilter,
+    },
+    /// Check a configuration.
+    CheckConfiguration(PathBuf),
+    /// Ask a control member.
+    Ask {
+        /// Its address.
+        control: String,
+        /// What for.
+        order: Order,
+    },
+    /// Look at a data folder.
+    Inspect(PathBuf),
+    /// Print how the program is called.
+    Help,
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optopt("", "settings", "settings file, in place of the one the environment names", "FILE");
+    options.optopt("", "log", "error, warn, info, debug or trace", "LEVEL");
+    options.optopt("", "control", "address of a control member", "ADDRESS");
+    options.optopt("", "base", "the version that a configuration builds on", "VERSION");
+    options.optflag("h", "help", "prints this");
+    options
+}
+
+/// Reads a command line, without the program's name. The error says what to do.
+pub fn parse(given: &[String]) -> Result<Command, String> {
+    let matches = options().parse(given).map_err(|fault| fault.to_string())?;
+    if matches.opt_present("help") {
+        return Ok(Command::Help);
+    }
+    let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match words.as_slice() {
+        ["proxy"] => serve(&matches, Role::Proxy),
+        ["agent"] => serve(&matches, Role::Agent),
+        ["control"] => serve(&matches, Role::Control),
+        ["store"] => serve(&matches, Role::Store),
+        ["check"] => serve(&matches, Role::Check),
+        ["config", "check", file] => Ok(Command::CheckConfiguration(file.into())),
+        ["config", "get"] => ask(&matches, Order::Get),
+        ["config", "apply", file] => {
+            let base = matches
+                .opt_str("base")
+                .ok_or("config apply needs --base: the current version, 0 at first")?;
+            let base = base.parse().map_err(|_| format!("--base: {base} is no version"))?;
+            ask(&matches, Order::Apply { file: file.into(), base })
+        }
+        ["retire", "start", node] => ask(&matches, Order::StartRetire((*node).to_owned())),
+        ["retire", "status", node] => ask(&matches, Order::RetireStatus((*node).to_owned())),
+        ["inspect", folder] => Ok(Command::Inspect(folder.into())),
+        [] => Err("a command has to be named".to_owned()),
+        words => Err(format!("{} is no command", words.join(" "))),
+    }
+}
+
+fn serve(matches: &Matches, role: Role) -> Result<Command, String> {
+    let level = match matches.opt_str("log") {
+        Some(level) => level.parse().map_err(|_| format!("--log: {level} is no level"))?,
+        None => LevelFilter::Info,
+    };
+    let settings = matches.opt_str("settings").map(PathBuf::from);
+    let name = matches.free.first().cloned().unwrap_or_default();
+    Ok(Command::Serve { role, name, settings, level })
+}
+
+fn ask(matches: &Matches, order: Order) -> Result<Command, String> {
+    let control = matches.opt_str("control").ok_or("--control: the address of a control member is needed")?;
+    Ok(Command::Ask { control, order })
+}
--- /dev/null
+++ b/tier/cli/src/operator.rs
@@ -0,0 +1,111 @@
+//! Calls of the operator to a control member, and looks at files.
+
+use crate::arguments::Order;
+use pointcross_tier_protocol::{Configuration, ConfigurationFault};
+use pointcross_tier_storage::RingFault;
+use snafu::{ResultExt, Snafu};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// How long an answer may take.
+const ANSWER_WITHIN: Duration = Duration::from_secs(5);
+
+/// Why an operator's command was not carried out.
+#[derive(Debug, Snafu)]
+pub enum OperatorFault {
+    /// A file can't be read.
+    #[snafu(display("{}: {source}", path.display()))]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// A configuration is invalid.
+    #[snafu(display("{}: {source}", path.display()))]
+    Invalid {
+        /// The file.
+        path: PathBuf,
+        /// Route and key.
+        source: ConfigurationFault,
+    },
+    /// A data folder can't be read.
+    #[snafu(display("{source}"))]
+    Folder {
+        /// File and reason.
+        source: RingFault,
+    },
+    /// No answer: the order may or may not be carried out.
+    #[snafu(display("{control}: {source}; send the same again, to any control member"))]
+    NoAnswer {
+        /// The member.
+        control: String,
+        /// What happened.
+        source: Box<ureq::Error>,
+    },
+    /// The member refused.
+    #[snafu(display("{control}: {status}: {text}"))]
+    Refused {
+        /// The member.
+        control: String,
+        /// Its status.
+        status: u16,
+        /// What it says.
+        text: String,
+    },
+}
+
+/// Checks a configuration. Gives what it holds.
+pub fn check(path: &Path) -> Result<String, OperatorFault> {
+    let body = std::fs::read(path).context(UnreadableSnafu { path })?;
+    let configuration = Configuration::parse(&body).context(InvalidSnafu { path })?;
+    let (routes, services) = (configuration.routes.len(), configuration.services.len());
+    Ok(format!("version {}: {routes} routes, {services} services", configuration.version))
+}
+
+/// Tells what a data folder holds, file by file.
+pub fn inspect(folder: &Path) -> Result<String, OperatorFault> {
+    let reports = pointcross_tier_storage::inspect(folder).context(FolderSnafu)?;
+    let line = |report: &pointcross_tier_storage::FileReport| {
+        let generation =
+            report.generation.map_or("unused".to_owned(), |number| format!("generation {number}"));
+        let rest = if report.has_rest { ", then bytes of no whole record" } else { "" };
+        format!(
+            "{}: {generation}, {} records, whole up to {} of {}{rest}",
+            report.path.display(),
+            report.records,
+            report.end,
+            report.length
+        )
+    };
+    Ok(reports.iter().map(line).collect::<Vec<_>>().join("\n"))
+}
+
+/// Asks a control member. Gives its answer.
+pub fn ask(control: &str, order: &Order) -> Result<String, OperatorFault> {
+    let agent: ureq::Agent = ureq::Agent::config_builder()
+        .timeout_global(Some(ANSWER_WITHIN))
+        .http_status_as_error(false)
+        .build()
+        .into();
+    let url = |path: &str| format!("http://{control}/pointcross/{path}");
+    let sent = match order {
+        Order::Get => agent.get(url("Configuration.Get")).call(),
+        Order::Apply { file, base } => {
+            let body = std::fs::read(file).context(UnreadableSnafu { path: file })?;
+            Configuration::parse(&body).context(InvalidSnafu { path: file })?;
+            let request = agent.post(url("Configuration.Replace")).header("X-Base-Version", base.to_string());
+            request.header("Content-Type", "application/json").send(&body)
+        }
+        Order::StartRetire(node) => agent.post(url(&format!("Retire.Start/{node}"))).send("{}"),
+        Order::RetireStatus(node) => agent.get(url(&format!("Retire.Get/{node}"))).call(),
+    };
+    let no_answer = |error| OperatorFault::NoAnswer { control: control.to_owned(), source: Box::new(error) };
+    let mut response = sent.map_err(no_answer)?;
+    let text = response.body_mut().read_to_string().map_err(no_answer)?;
+    let status = response.status().as_u16();
+    if status != 200 {
+        return RefusedSnafu { control, status, text }.fail();
+    }
+    Ok(text)
+}
--- a/tier/storage/src/lib.rs
+++ b/tier/storage/src/lib.rs
@@ -10,7 +10,9 @@
 #![warn(missing_docs)]
 
 mod format;
+mod inspect;
 mod ring;
 
 pub use format::{FILE_HEADER_LENGTH, RECORD_HEADER_LENGTH};
+pub use inspect::{FileReport, inspect};
 pub use ring::{Location, Recovered, RecoveredRecord, Ring, RingFault, RingLayout};
--- a/tier/storage/src/ring.rs
+++ b/tier/storage/src/ring.rs
@@ -25,6 +25,7 @@
 
 /// Why a ring can't be used.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum RingFault {
     /// The system refused.
     #[snafu(display("{}: {source}", path.display()))]
--- a/tier/storage/tests/ring.rs
+++ b/tier/storage/tests/ring.rs
@@ -1,6 +1,6 @@
 //! The ring of files: what was synced outlasts, what is torn is left out, nothing old passes for new.
 
-use pointcross_tier_storage::{FILE_HEADER_LENGTH, RECORD_HEADER_LENGTH, Ring, RingLayout};
+use pointcross_tier_storage::{FILE_HEADER_LENGTH, RECORD_HEADER_LENGTH, Ring, RingLayout, inspect};
 use proptest::prelude::*;
 use std::path::Path;
 
@@ -106,6 +106,23 @@
     assert_eq!(bodies(folder.path()), [b"kept".to_vec(), b"other".to_vec()]);
 }
 
+#[test]
+fn a_look_at_a_ring_tells_what_is_whole_and_changes_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    write(folder.path(), &["one", "two"]);
+    let file = folder.path().join("ring-000");
+    let mut bytes = std::fs::read(&file).expect("the file");
+    let last = FILE_HEADER_LENGTH + 2 * (RECORD_HEADER_LENGTH + 3) - 1;
+    bytes[last] ^= 1;
+    std::fs::write(&file, &bytes).expect("the torn file");
+    let reports = inspect(folder.path()).expect("a report");
+    assert_eq!(reports.len(), 3);
+    assert_eq!((reports[0].generation, reports[0].records, reports[0].has_rest), (Some(1), 1, true));
+    assert_eq!(reports[0].end as usize, FILE_HEADER_LENGTH + RECORD_HEADER_LENGTH + 3);
+    assert_eq!((reports[1].generation, reports[1].records, reports[1].has_rest), (None, 0, false));
+    assert_eq!(std::fs::read(&file).expect("the file"), bytes);
+}
+
 proptest! {
     #[test]
     fn any_bytes_open_without_a_fault(contents in proptest::collection::vec(any::<u8>(), 0..256)) {
