Send a session to the same server from every proxy that knows nothing of it

Change: the home of a session is drawn by the second part of its prompt, which is its own and stays.

--- a/tier/routing/src/prefix.rs
+++ b/tier/routing/src/prefix.rs
@@ -11,6 +11,12 @@
 }
 
 impl PromptParts {
+    /// What stays the same over all turns of a session: the first part that it shares with no other, which is the
+    /// second one.
+    pub fn session_key(&self) -> Option<u64> {
+        self.parts.get(1).or(self.parts.first()).map(|(key, _)| *key)
+    }
+
     /// Tokens of all parts.
     pub fn tokens(&self) -> u64 {
         self.parts.iter().map(|(_, tokens)| tokens).sum()
--- a/tier/routing/src/servers.rs
+++ b/tier/routing/src/servers.rs
@@ -21,7 +21,8 @@
 const READ_HOLDS_UP: f64 = 0.3;
 /// The price of another zone: the way there and back, and the bytes, in milliseconds.
 const OTHER_ZONE_MS: f64 = 10.0;
-/// The advantage of the server that a first part hashes to, so that proxies fill the same caches.
+/// The advantage of the server that a session hashes to: proxies that know nothing of it, as after a restart, choose the
+/// same one.
 const HOME_MS: f64 = 20.0;
 /// How long a server's own report of its load is believed, in milliseconds.
 const REPORT_LASTS: f64 = 1000.0;
@@ -152,10 +153,10 @@
     }
 
     fn home_advantage(&self, server: &Server, demand: &Demand) -> f64 {
-        let Some((key, _)) = demand.prompt.and_then(|prompt| prompt.parts.first()) else {
+        let Some(key) = demand.prompt.and_then(PromptParts::session_key) else {
             return 0.0;
         };
-        let mut value = *key;
+        let mut value = key;
         for byte in server.instance.id.bytes() {
             value = (value ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
         }
--- a/tier/routing/tests/routing.rs
+++ b/tier/routing/tests/routing.rs
@@ -146,6 +146,20 @@
     assert_eq!(chosen(servers.choose(100.0, &wants)).as_deref(), Some("two"));
 }
 
+#[test]
+fn proxies_that_know_nothing_of_a_session_choose_the_same_server() {
+    let all: Vec<Instance> = (0..9).map(|number| server(&format!("i-{number}"), "a")).collect();
+    for session in 0..20 {
+        let first_turn = parse_prefix(&format!("aa:2000,s{session}:500"));
+        let third_turn = parse_prefix(&format!("aa:2000,s{session}:500,t2:40,t3:40"));
+        let choose = |prompt| {
+            let wants = Demand { prompt: Some(prompt), ..demand(&[]) };
+            chosen(servers(&all).choose(0.0, &wants))
+        };
+        assert_eq!(choose(&first_turn), choose(&third_turn));
+    }
+}
+
 #[test]
 fn a_load_report_is_read_or_left() {
     assert_eq!(LoadReport::parse("3, 0,8"), Some(LoadReport { running: 3, waiting: 0, slots: 8 }));
