Test a proxy's stop and a silent instance; draw the timelines of three more faults

Change: tests only. A proxy told to stop answers whole what it took, and what it did not take never ran; an instance without heartbeats is not asked.

--- a/tier/simulation/src/engine.rs
+++ b/tier/simulation/src/engine.rs
@@ -112,6 +112,13 @@
         engine
     }
 
+    /// Sends no heartbeats any longer; it still answers.
+    pub fn stop_heartbeats(&self) {
+        if let Some(beat) = self.tasks.borrow().get(1) {
+            beat.abort();
+        }
+    }
+
     /// So many of a hundred requests run and have their connection closed in place of an answer.
     pub fn lose_answers(&self, of_a_hundred: u64) {
         self.answers_lost.set(of_a_hundred);
--- a/tier/simulation/tests/faults.rs
+++ b/tier/simulation/tests/faults.rs
@@ -99,12 +99,13 @@
             let id = format!("t{number}");
             let front = if number % 2 == 0 { "front-1" } else { "front-2" };
             let turn = Turn { id: &id, ..FIRST };
-            let reply = cluster.request(front, turn.request()).await.expect("an answer");
+            let reply = cluster.turn(front, &turn).await.expect("an answer");
             assert_eq!(reply.status, 200);
         }
         let late = engine.ran().iter().filter(|ran| ran.at > drained + Duration::from_secs(2)).count();
         assert_eq!(late, 0, "nothing reaches it after DrainMs");
         assert_eq!(successor.ran().len(), 10);
+        insta::assert_snapshot!(cluster.timeline.to_string());
     });
 }
 
@@ -165,7 +166,7 @@
                 let front = if number % 2 == 0 { "front-1" } else { "front-2" };
                 let turn = Turn { id, budget: Some(12), kept: false, ..FIRST };
                 let cluster = &cluster;
-                async move { cluster.request(front, turn.request()).await.expect("an answer").status.as_u16() }
+                async move { cluster.turn(front, &turn).await.expect("an answer").status.as_u16() }
             })
             .collect();
         let mut statuses = Vec::new();
@@ -182,10 +183,11 @@
         for number in 9..14 {
             let id = format!("t{number}");
             let turn = Turn { id: &id, budget: Some(12), kept: false, ..FIRST };
-            let reply = cluster.request("front-1", turn.request()).await.expect("an answer");
+            let reply = cluster.turn("front-1", &turn).await.expect("an answer");
             all_served += usize::from(reply.status == 200);
         }
         assert_eq!(all_served, 4);
+        insta::assert_snapshot!(cluster.timeline.to_string());
     });
 }
 
@@ -230,6 +232,7 @@
         assert_eq!(bodies, ["first;t1.1\nt1.2\nt1.3\nleft;", "first;t1.1\nt1.2\nt1.3\nright;"]);
         let unknown = Turn { id: "none", previous: Some("never"), ..FIRST };
         assert_eq!(cluster.turn("front-2", &unknown).await.expect("an answer").status, 404);
+        insta::assert_snapshot!(cluster.timeline.to_string());
     });
 }
 
@@ -279,6 +282,54 @@
     });
 }
 
+/// From the first hunts: a proxy that was told to stop was killed with requests open.
+#[test]
+fn a_proxy_that_stops_finishes_what_it_took() {
+    run(22, async {
+        let (mut cluster, engine) = serving().await;
+        // Turns come all the while, also after the platform has noticed that the proxy is not ready.
+        let caller = cluster.caller();
+        let turns: Vec<_> = (0..40)
+            .map(|number| {
+                let caller = caller.clone();
+                async move {
+                    tokio::time::sleep(Duration::from_millis(100 * number)).await;
+                    let id = format!("t{number}");
+                    caller.request("front-1", Turn { id: &id, ..FIRST }.request()).await
+                }
+            })
+            .collect();
+        cluster.terminate("front-1");
+        let replies = join_all(turns).await;
+        let answered = replies.iter().flatten().count();
+        // Whoever had an answer had a whole one; nobody after the proxy stopped listening was half served.
+        assert!(replies.iter().flatten().all(|reply| reply.whole && reply.status == 200));
+        assert!((20..30).contains(&answered), "{answered}");
+        assert_eq!(engine.ran().len(), answered, "what ran was answered");
+        cluster.timeline.note("front-1", format!("{answered} turns answered whole, no other ran"));
+        insta::assert_snapshot!(cluster.timeline.to_string());
+    });
+}
+
+/// A model scheduler that falls silent is not asked while others are there.
+#[test]
+fn an_instance_that_is_silent_is_left_alone() {
+    run(23, async {
+        let (cluster, engine) = serving().await;
+        let other = self::engine(&cluster, 2);
+        seconds(&cluster, 2).await;
+        engine.stop_heartbeats();
+        seconds(&cluster, 6).await;
+        let before = engine.ran().len();
+        for number in 0..10 {
+            let id = format!("t{number}");
+            let reply = cluster.turn("front-1", &Turn { id: &id, ..FIRST }).await.expect("an answer");
+            assert_eq!(reply.status, 200);
+        }
+        assert_eq!((engine.ran().len() - before, other.ran().len()), (0, 10));
+    });
+}
+
 /// Runs futures together on this task.
 async fn join_all<T>(futures: Vec<impl Future<Output = T>>) -> Vec<T> {
     let mut pinned: Vec<_> = futures.into_iter().map(Box::pin).collect();
