Say in the log, with file and offset, what a ring's recovery leaves out

Cause: a torn data folder lost its last records without a word; the issue asks that nothing is lost silently.

Change: one line at the start where bytes behind the last whole record are not empty.

--- a/tier/storage/src/ring.rs
+++ b/tier/storage/src/ring.rs
@@ -2,6 +2,7 @@
 
 use crate::format::{self, FILE_HEADER_LENGTH, RECORD_HEADER_LENGTH};
 use bytes::Bytes;
+use log::warn;
 use snafu::{ResultExt, Snafu};
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom, Write};
@@ -214,9 +215,20 @@
     let mut bytes = Vec::new();
     file.read_to_end(&mut bytes).context(IoSnafu { path })?;
     let contents = read_contents(generation, &bytes);
+    say_what_is_left_out(path, &contents, &bytes);
     Ok((file, contents))
 }
 
+/// Nothing is left out silently: bytes behind the last whole record are a torn one, or left from an earlier use.
+fn say_what_is_left_out(path: &Path, contents: &Contents, bytes: &[u8]) {
+    let from = contents.end as usize - FILE_HEADER_LENGTH;
+    let next_header = bytes[from..].iter().take(RECORD_HEADER_LENGTH);
+    if next_header.into_iter().any(|byte| *byte != 0) {
+        let (path, end) = (path.display(), contents.end);
+        warn!("{path}: what stands from byte {end} on is no whole record and is left out");
+    }
+}
+
 fn read_contents(generation: u64, bytes: &[u8]) -> Contents {
     let mut rest = bytes;
     let mut checksum = format::file_checksum(generation);
