--- a/src/brain.rs
+++ b/src/brain.rs
@@ -2,7 +2,7 @@
 //!
 //! Map, top to bottom:
 //! - constants, each with its reason; what is remembered; `Scheduler`: events, the list, arrivals, the pulse;
-//! - `rate` to `serve`: the mechanism; `may_send`: the rules' gate; `finish`: the only place of final answers.
+//! - `rate` to `serve`: the mechanism; `may_send`: the rules' gate; `finish`: the only final answers.
 
 use crate::{interface::*, learned_rate::LearnedRate};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
