Wipe a store while a turn is handed on, at every few milliseconds

Cause: the timeline of that name gave stores time to repair between wipes; none was lost in the middle of a hand-over.

Change: a test that wipes each store at nine moments round the writing of the copies. The comment of repair says when a hint is dropped. No code of a program changed.

--- a/tier/simulation/tests/faults.rs
+++ b/tier/simulation/tests/faults.rs
@@ -330,6 +330,31 @@
     });
 }
 
+/// The disk goes at every few milliseconds round the moment at which the turn's copies are written.
+#[test]
+fn a_store_is_wiped_while_a_turn_is_handed_on() {
+    for after_ms in (60..=84).step_by(3) {
+        for store in ["storage-1", "storage-2", "storage-3"] {
+            run(24, async {
+                let (mut cluster, engine) = serving().await;
+                let caller = cluster.caller();
+                let turn = tokio::task::spawn_local(async move { caller.turn("front-1", &FIRST).await });
+                cluster.pass(Duration::from_millis(after_ms)).await;
+                cluster.wipe(store);
+                let reply = turn.await.expect("the turn ends").expect("an answer");
+                assert!(reply.status == 200 && reply.whole, "{store} after {after_ms} ms");
+                seconds(&cluster, 5).await;
+                let second = Turn { id: "t2", previous: Some("t1"), input: "second;", ..FIRST };
+                assert_eq!(cluster.turn("front-2", &second).await.expect("an answer").status, 200);
+                assert_eq!(engine.ran().pop().expect("it ran").body, "first;t1.1\nt1.2\nt1.3\nsecond;");
+                if after_ms == 69 && store == "storage-1" {
+                    insta::assert_snapshot!(cluster.timeline.to_string());
+                }
+            });
+        }
+    }
+}
+
 /// Runs futures together on this task.
 async fn join_all<T>(futures: Vec<impl Future<Output = T>>) -> Vec<T> {
     let mut pinned: Vec<_> = futures.into_iter().map(Box::pin).collect();
--- a/tier/store/src/repair.rs
+++ b/tier/store/src/repair.rs
@@ -1,6 +1,7 @@
 //! Repair: hinted handoff, copies in place of lost ones, and the emptying of a retiring store.
 //!
-//! Every turn counts as kept at its homes. A store that took a turn in place of a home hands it on to that home.
+//! Every turn counts as kept at its homes. A store that took a turn in place of a home hands it on to that home where the
+//! home answers; where it does not and enough others have the turn, the hint is dropped.
 //! When a home's disk is gone, each other holder sees to it that the turn stands on enough disks again.
 
 use crate::announce;
