Run a proxy's agent in the proxy's process where the deploy file says so

Following control members from the proxy until its agent ran changed nothing, since the agent's start takes the whole processor; that trial was not kept, and neither was link-time optimisation.

--- a/tier/cli/src/arguments.rs
+++ b/tier/cli/src/arguments.rs
@@ -6,10 +6,10 @@
 
 /// How the program is called.
 pub const USAGE: &str =
-    "Usage: pointcross-tier COMMAND [--settings FILE] [--log LEVEL] [--control ADDRESS] [--base VERSION]
+    "Usage: pointcross-tier COMMAND [--settings FILE] [--log LEVEL] [--with-agent] [--control ADDRESS] [--base VERSION]
 
 Roles, started by the platform:
-  proxy                 serves clients
+  proxy                 serves clients; --with-agent: runs its agent in the same process
   agent                 follows the control plane and feeds the proxy on the same machine
   control               a member of the control plane
   store                 keeps turns and budgets
@@ -28,6 +28,8 @@
 pub enum Role {
     /// Serves clients.
     Proxy,
+    /// Serves clients, with its agent in the same process.
+    ProxyWithAgent,
     /// Feeds a proxy.
     Agent,
     /// A member of the control plane.
@@ -89,6 +91,7 @@
     let mut options = Options::new();
     options.optopt("", "settings", "settings file, in place of the one the environment names", "FILE");
     options.optopt("", "log", "error, warn, info, debug or trace", "LEVEL");
+    options.optflag("", "with-agent", "run the proxy's agent in the proxy's process");
     options.optopt("", "control", "address of a control member", "ADDRESS");
     options.optopt("", "base", "the version that a configuration builds on", "VERSION");
     options.optflag("h", "help", "prints this");
@@ -103,6 +106,8 @@
     }
     let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
     match words.as_slice() {
+        ["proxy"] if matches.opt_present("with-agent") => serve(&matches, Role::ProxyWithAgent),
+        _ if matches.opt_present("with-agent") => Err("--with-agent goes with proxy only".to_owned()),
         ["proxy"] => serve(&matches, Role::Proxy),
         ["agent"] => serve(&matches, Role::Agent),
         ["control"] => serve(&matches, Role::Control),
--- a/tier/cli/src/main.rs
+++ b/tier/cli/src/main.rs
@@ -8,7 +8,7 @@
 use pointcross_tier_protocol::Settings;
 use pointcross_tier_protocol::settings::SettingsFault;
 use pointcross_tier_runtime::environment::Environment;
-use pointcross_tier_runtime::process;
+use pointcross_tier_runtime::process::{self, Stop};
 use snafu::{ResultExt, Snafu};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -54,6 +54,7 @@
         let stop = Box::pin(process::told_to_stop());
         match role {
             Role::Proxy => pointcross_tier_proxy::run(settings, environment, stop).await.context(ProxySnafu),
+            Role::ProxyWithAgent => serve_with_agent(settings, environment, stop).await,
             Role::Agent => pointcross_tier_agent::run(settings, environment, stop).await.context(AgentSnafu),
             Role::Control => {
                 pointcross_tier_control::run(settings, environment, stop).await.context(ControlSnafu)
@@ -65,6 +66,24 @@
     served.context(RuntimeSnafu)?
 }
 
+/// Serves clients with the proxy's agent in the same process; the agent feeds over loopback as it does from a process
+/// of its own. A machine with a small part of a core has only one process to start.
+async fn serve_with_agent(settings: Settings, environment: Environment, stop: Stop) -> Result<(), Fault> {
+    let agent_stop = Box::pin(process::told_to_stop());
+    let agent = pointcross_tier_agent::run(settings.clone(), environment.clone(), agent_stop);
+    let agent_failed = async {
+        match agent.await {
+            Ok(()) => std::future::pending().await,
+            Err(fault) => fault,
+        }
+    };
+    tokio::select! {
+        biased;
+        fault = agent_failed => Err(fault).context(AgentSnafu),
+        served = pointcross_tier_proxy::run(settings, environment, stop) => served.context(ProxySnafu),
+    }
+}
+
 fn run() -> Result<(), Fault> {
     let given: Vec<String> = std::env::args().skip(1).collect();
     let told = match arguments::parse(&given).map_err(|text| Fault::Usage { text })? {
--- a/tier/cli/tests/commands.rs
+++ b/tier/cli/tests/commands.rs
@@ -25,6 +25,8 @@
         (&["fly"][..], "fly is no command"),
         (&["proxy"][..], "POINTCROSS_BOOT is not set"),
         (&["proxy", "--log", "loud"][..], "--log: loud is no level"),
+        (&["proxy", "--with-agent"][..], "POINTCROSS_BOOT is not set"),
+        (&["store", "--with-agent"][..], "--with-agent goes with proxy only"),
         (&["config", "get"][..], "--control: the address of a control member is needed"),
         (&["config", "apply", "x", "--control", "127.0.0.1:1"][..], "config apply needs --base"),
     ] {
