Let each proxy keep to few servers where nothing is generated

Times of plain requests vary by as much as their mean, and each was held against 25 ms: the server with the luckiest answer, or one never asked, won each choice, so requests went round all servers.

Change: what a request takes is held against its route's usual time, learned over all servers; a server is slow only from 1.5 times that on; an idle connection counts 15 ms, the proxy's own hash up to 8 ms, less than another zone; load counts by its square, since nothing waits before the slots are taken. Costs, health, usual times and rendezvous hashing are modules of their own; Policy names each mechanism with its switch.

--- a/tier/protocol/src/headers.rs
+++ b/tier/protocol/src/headers.rs
@@ -16,6 +16,8 @@
 pub const TOKEN_USAGE: &str = "x-token-usage";
 /// The parts of the prompt.
 pub const PROMPT_PREFIX: &str = "x-prompt-prefix";
+/// The same on all requests that concern the same object.
+pub const AFFINITY_KEY: &str = "x-affinity-key";
 /// The last event that came.
 pub const LAST_EVENT_ID: &str = "last-event-id";
 /// The program that a request belongs to.
--- a/tier/proxy/src/proxy.rs
+++ b/tier/proxy/src/proxy.rs
@@ -55,7 +55,7 @@
         Rc::new(Proxy {
             shared: shared.clone(),
             table: RefCell::default(),
-            servers: RefCell::new(Servers::new(&settings.zone)),
+            servers: RefCell::new(Servers::new(&settings.node, &settings.zone)),
             pool: Pool::new(&environment),
             queues: Queues::default(),
             stores: Stores::new(&environment, shared, &settings),
--- a/tier/proxy/src/request/attempt.rs
+++ b/tier/proxy/src/request/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode, header};
 use pointcross_tier_protocol::{Instance, headers};
-use pointcross_tier_routing::{AttemptEnd, LoadReport};
+use pointcross_tier_routing::{AnswerBegin, AttemptEnd, LoadReport};
 use pointcross_tier_runtime::defect::{Defect, is_in};
 use std::rc::Rc;
 use std::time::Duration;
@@ -273,8 +273,10 @@
         proxy.pool.keep(&instance, connection);
         let is_error = head.status.is_server_error();
         if !is_error {
-            let report = load_report(&head.headers);
-            proxy.servers.borrow_mut().answered(proxy.now_ms(), &instance, took, foreseen, report);
+            let route = &self.context.routed.route.name;
+            let plain_route = self.context.prompt.is_none().then_some(route.as_str());
+            let begin = AnswerBegin { plain_route, took, foreseen, report: load_report(&head.headers) };
+            proxy.servers.borrow_mut().answered(proxy.now_ms(), &instance, begin);
         }
         out.end(if is_error { AttemptEnd::ServerError } else { AttemptEnd::Served });
         if is_error && self.context.routed.route.may_repeat() && self.may_try_again() {
--- a/tier/proxy/src/request/parse.rs
+++ b/tier/proxy/src/request/parse.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use pointcross_tier_protocol::configuration::RouteType;
 use pointcross_tier_protocol::headers;
-use pointcross_tier_routing::{PromptParts, RouteTable, RoutedRequest, parse_prefix};
+use pointcross_tier_routing::{PromptParts, RouteTable, RoutedRequest, object_key, parse_prefix};
 use pointcross_tier_runtime::random;
 use std::rc::Rc;
 use std::time::Duration;
@@ -55,6 +55,8 @@
     pub previous: Option<String>,
     /// The last event that the client has.
     pub last_event: Option<String>,
+    /// What the object hashes by that it concerns, where servers work faster on one they have seen.
+    pub object: Option<u64>,
     /// Lower ones are served first where requests wait.
     pub rank: u64,
 }
@@ -95,6 +97,7 @@
         let (program, previous, last_event) =
             (owned(headers::PROGRAM), owned(headers::PREVIOUS), owned(headers::LAST_EVENT_ID));
         let prompt = text(&forwarded, headers::PROMPT_PREFIX).map(parse_prefix);
+        let object = text(&forwarded, headers::AFFINITY_KEY).filter(|_| routed.route.sticky).map(object_key);
         let budget = number(&forwarded, headers::BUDGET);
         let attempt = forwarded.get(headers::ATTEMPT_ID).cloned();
         strip_connection_headers(&mut forwarded);
@@ -117,6 +120,7 @@
             budget,
             previous,
             last_event,
+            object,
             rank,
         })
     }
--- a/tier/proxy/src/request/placing.rs
+++ b/tier/proxy/src/request/placing.rs
@@ -30,6 +30,7 @@
     let units = context.units();
     let mut place: Option<Place> = None;
     let give_up_search = Instant::now() + NO_SERVER_WAIT;
+    let has_idle_connection = |id: &str| proxy.pool.has_idle(id);
     loop {
         let may_go = match &place {
             Some(place) => place.is_first(),
@@ -37,12 +38,15 @@
         };
         let demand = Demand {
             service,
+            route: &context.routed.route.name,
             units,
             prompt: context.prompt.as_ref(),
             time_left: context.left_ms(),
             target: context.routed.route.target_ms,
             held_units: proxy.queues.held_units(service),
             tried,
+            object: context.object,
+            has_idle_connection: &has_idle_connection,
         };
         let room = proxy.queues.room();
         let until = match proxy.servers.borrow().choose(proxy.now_ms(), &demand) {
--- a/tier/proxy/src/stream.rs
+++ b/tier/proxy/src/stream.rs
@@ -3,13 +3,14 @@
 use crate::answer::{self, Aborted, Answer};
 use crate::budget::Granted;
 
-use crate::request::{Attempts, attempt::Begun};
+use crate::request::Attempts;
+use crate::request::attempt::{Begun, load_report};
 use crate::turns;
 use bytes::{Bytes, BytesMut};
 use log::debug;
 use pointcross_tier_protocol::events::EventSplitter;
 use pointcross_tier_protocol::turns::TurnRecord;
-use pointcross_tier_routing::AttemptEnd;
+use pointcross_tier_routing::{AnswerBegin, AttemptEnd};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -138,8 +139,9 @@
                 is_first = false;
                 out.heard();
                 let took = sent.elapsed().as_secs_f64() * 1000.0;
-                let report = crate::request::attempt::load_report(&head.headers);
-                proxy.servers.borrow_mut().answered(proxy.now_ms(), &instance, took, foreseen, report);
+                let report = load_report(&head.headers);
+                let begin = AnswerBegin { plain_route: None, took, foreseen, report };
+                proxy.servers.borrow_mut().answered(proxy.now_ms(), &instance, begin);
             }
             if splitter.push(&piece).is_err() {
                 out.end(AttemptEnd::Failed);
--- a/tier/proxy/src/upstream/connection.rs
+++ b/tier/proxy/src/upstream/connection.rs
@@ -86,7 +86,12 @@
 
     /// Whether a kept connection may be used: it has not rested for long, and nothing came on it.
     pub(super) fn is_sound(&mut self) -> bool {
-        nothing_came(&mut self.stream) && self.rests_since.elapsed() < self.rest_for
+        nothing_came(&mut self.stream) && self.rests_shortly()
+    }
+
+    /// Whether it has rested for less than the server lets it.
+    pub(super) fn rests_shortly(&self) -> bool {
+        self.rests_since.elapsed() < self.rest_for
     }
 
     /// Whether the connection may be kept after its answer.
--- a/tier/proxy/src/upstream/pool.rs
+++ b/tier/proxy/src/upstream/pool.rs
@@ -34,6 +34,12 @@
         None
     }
 
+    /// Whether a connection to this instance rests here that [`Pool::take`] would probably give.
+    pub fn has_idle(&self, id: &str) -> bool {
+        let kept = self.kept.borrow();
+        kept.get(id).is_some_and(|connections| connections.iter().any(Connection::rests_shortly))
+    }
+
     /// A new connection to this instance.
     pub async fn connect(&self, instance: &Instance, within: Duration) -> Result<Connection, AttemptFault> {
         let stream = self.environment.network.connect(instance.address, within).await;
--- a/tier/routing/src/lib.rs
+++ b/tier/routing/src/lib.rs
@@ -3,12 +3,18 @@
 #![warn(missing_docs)]
 
 mod admission;
+mod cost;
+mod health;
+mod policy;
 mod prefix;
+mod rendezvous;
 mod route_table;
 mod server;
 mod servers;
 
 pub use prefix::{PromptParts, parse_prefix};
 pub use route_table::{RouteTable, RoutedRequest};
+pub use policy::Policy;
 pub use server::{AttemptEnd, LoadReport};
+pub use rendezvous::key as object_key;
 pub use servers::{Choice, Demand, Servers};
--- a/tier/routing/src/server.rs
+++ b/tier/routing/src/server.rs
@@ -1,24 +1,18 @@
 //! What is known of one server.
 
+use crate::health::{FAILURES_BEFORE_REST, Health};
 use pointcross_decide::LearnedRate;
 use pointcross_tier_protocol::{Instance, InstanceState};
 use std::collections::{HashMap, VecDeque};
 
 /// Parts of prompts remembered for one server; its cache holds some hundred.
 const MOST_PARTS: usize = 512;
-/// Weight of the newest answer in a server's mean time.
-const TIME_WEIGHT: f64 = 0.25;
-/// Failures in a row after which a server rests.
-const FAILURES_BEFORE_REST: u32 = 2;
-/// Weight of the newest attempt in a server's part of failures.
-const TROUBLE_WEIGHT: f64 = 0.2;
+/// Weight of the newest answer in a server's mean time, where it is foreseen from the prompt.
+const ENGINE_TIME_WEIGHT: f64 = 0.25;
+/// The same where nothing is generated: such times vary by as much as their mean.
+const PLAIN_TIME_WEIGHT: f64 = 0.1;
 /// A rejection tells less of a server than a failure.
 const REJECTION: f64 = 0.5;
-/// What was learned of failures fades to a third in this time, in milliseconds, so that a healed server is found.
-const TROUBLE_FADES_IN: f64 = 3000.0;
-/// The first rest after failures, in milliseconds; it doubles up to [`LONGEST_REST`].
-const FIRST_REST: f64 = 250.0;
-const LONGEST_REST: f64 = 4000.0;
 
 /// How an attempt at a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,11 +64,7 @@
     pub gap_from: f64,
     /// The mean time of an answer, or to a stream's first event, in milliseconds over what was foreseen.
     pub time_factor: f64,
-    pub failures: u32,
-    /// The part of attempts that failed, and when that was last learned.
-    trouble: f64,
-    trouble_at: f64,
-    pub rests_until: f64,
+    pub health: Health,
     /// The address belongs to another instance by now.
     pub replaced: bool,
     pub report: Option<(f64, LoadReport, u32)>,
@@ -91,10 +81,7 @@
             learned: LearnedRate::default(),
             gap_from: 0.0,
             time_factor: 1.0,
-            failures: 0,
-            trouble: 0.0,
-            trouble_at: 0.0,
-            rests_until: f64::NEG_INFINITY,
+            health: Health::default(),
             replaced: false,
             report: None,
             parts: HashMap::new(),
@@ -108,22 +95,6 @@
         !self.replaced && matches!(state, InstanceState::Ready | InstanceState::Silent)
     }
 
-    /// Whether it rests after failures.
-    pub fn rests(&self, now: f64) -> bool {
-        now < self.rests_until
-    }
-
-    /// The part of attempts that fail there, as far as that is still worth something.
-    pub fn trouble(&self, now: f64) -> f64 {
-        self.trouble * (-(now - self.trouble_at).max(0.0) / TROUBLE_FADES_IN).exp()
-    }
-
-    fn learn_trouble(&mut self, now: f64, failed: f64) {
-        let before = self.trouble(now);
-        self.trouble = before + TROUBLE_WEIGHT * (failed - before);
-        self.trouble_at = now;
-    }
-
     /// Requests of other proxies there, as far as it told lately.
     pub fn others(&self, now: f64, report_lasts: f64) -> f64 {
         match &self.report {
@@ -163,9 +134,10 @@
     }
 
     /// Takes note of how long an answer took, against what was foreseen.
-    pub fn learn_time(&mut self, took: f64, foreseen: f64) {
+    pub fn learn_time(&mut self, took: f64, foreseen: f64, is_plain: bool) {
+        let weight = if is_plain { PLAIN_TIME_WEIGHT } else { ENGINE_TIME_WEIGHT };
         let factor = (took / foreseen.max(1.0)).clamp(0.2, 10.0);
-        self.time_factor += TIME_WEIGHT * (factor - self.time_factor);
+        self.time_factor += weight * (factor - self.time_factor);
     }
 
     /// Takes note of how an attempt ended.
@@ -176,24 +148,13 @@
             AttemptEnd::Served => {
                 self.learned.learn(units, (now - self.gap_from).max(1.0));
                 self.gap_from = now;
-                self.failures = 0;
-                self.learn_trouble(now, 0.0);
+                self.health.served(now);
             }
             AttemptEnd::OtherInstance => self.replaced = true,
-            AttemptEnd::NoConnection => self.failed(now, 1),
-            AttemptEnd::Failed | AttemptEnd::ServerError => self.failed(now, FAILURES_BEFORE_REST),
-            AttemptEnd::Rejected => self.learn_trouble(now, REJECTION),
+            AttemptEnd::NoConnection => self.health.failed(now, 1),
+            AttemptEnd::Failed | AttemptEnd::ServerError => self.health.failed(now, FAILURES_BEFORE_REST),
+            AttemptEnd::Rejected => self.health.learn(now, REJECTION),
             AttemptEnd::Abandoned => {}
         }
     }
-
-    fn failed(&mut self, now: f64, before_rest: u32) {
-        self.learn_trouble(now, 1.0);
-        self.failures += 1;
-        if self.failures >= before_rest {
-            let doublings = (self.failures - before_rest).min(8);
-            let rest = (FIRST_REST * f64::from(1_u32 << doublings)).min(LONGEST_REST);
-            self.rests_until = now + rest;
-        }
-    }
 }
--- a/tier/routing/tests/routing.rs
+++ b/tier/routing/tests/routing.rs
@@ -53,7 +53,7 @@
 }
 
 fn servers(of: &[Instance]) -> Servers {
-    let mut servers = Servers::new("a");
+    let mut servers = Servers::new("front-1", "a");
     for instance in of {
         servers.update(instance);
     }
@@ -63,12 +63,15 @@
 fn demand(tried: &[String]) -> Demand<'_> {
     Demand {
         service: "s",
+        route: "r",
         units: 100.0,
         prompt: None,
         time_left: 1000.0,
         target: 250.0,
         held_units: 0.0,
         tried,
+        object: None,
+        has_idle_connection: &|_| false,
     }
 }
 
