Tell engines how urgent a turn is, and hold requests until the first configuration

Cause: after a final fault engines near full serve turns in the order in which they come: a client's last try, with half a second left, waits behind turns of programs that can't be in time any more, and is thrown out of the queue.

Change: Priority is stated to engines by the time that a try has left and by whether its program's time is over (routing's urgency module). A request that meets no configuration yet waits for 400 ms at the most before it is refused.

--- a/tier/protocol/src/headers.rs
+++ b/tier/protocol/src/headers.rs
@@ -26,6 +26,8 @@
 pub const SESSION: &str = "session";
 /// Milliseconds until the program should be over.
 pub const FINISH_MS: &str = "finish-ms";
+/// How urgent a request is to an engine: 0 to 9, 0 first.
+pub const PRIORITY: &str = "priority";
 /// Tokens that all turns of a program may generate.
 pub const BUDGET: &str = "budget";
 /// The turn that this one continues from.
--- a/tier/proxy/src/proxy.rs
+++ b/tier/proxy/src/proxy.rs
@@ -13,6 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Part of the process's memory that cached chains may take.
@@ -28,6 +29,8 @@
     pub shared: Rc<SharedView>,
     /// The routes in force; none before the first configuration.
     pub table: RefCell<Option<Rc<RouteTable>>>,
+    /// Wakes those who wait for the first configuration.
+    adopted: Notify,
     /// The servers.
     pub servers: RefCell<Servers>,
     /// Connections to servers.
@@ -55,6 +58,7 @@
         Rc::new(Proxy {
             shared: shared.clone(),
             table: RefCell::default(),
+            adopted: Notify::new(),
             servers: RefCell::new(Servers::new(&settings.node, &settings.zone)),
             pool: Pool::new(&environment),
             queues: Queues::default(),
@@ -73,6 +77,19 @@
         self.started.elapsed().as_secs_f64() * 1000.0
     }
 
+    /// The routes in force; waits until then for the first ones.
+    pub async fn first_table(&self, until: Instant) -> Option<Rc<RouteTable>> {
+        loop {
+            let adopted = self.adopted.notified();
+            if let Some(table) = self.table.borrow().clone() {
+                return Some(table);
+            }
+            if tokio::time::timeout_at(until, adopted).await.is_err() {
+                return None;
+            }
+        }
+    }
+
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         let knows_servers = self.shared.read(|view| view.instances().all().next().is_some());
@@ -111,6 +128,7 @@
             let table = RouteTable::new(&configuration);
             info!("configuration {} is in force", table.version());
             *proxy.table.borrow_mut() = Some(Rc::new(table));
+            proxy.adopted.notify_waiters();
         }
         Err(fault) => warn!("a configuration in force can't be read: {fault}"),
     }
--- a/tier/proxy/src/request/attempt.rs
+++ b/tier/proxy/src/request/attempt.rs
@@ -345,6 +345,9 @@
     let left = format!("{:.0}", (context.left_ms() - WAY_MS).max(1.0));
     set(&mut forwarded, headers::DEADLINE, &left);
     set(&mut forwarded, headers::EXPECTED_INSTANCE, instance);
+    if context.prompt.is_some() {
+        set(&mut forwarded, headers::PRIORITY, &context.priority().to_string());
+    }
     if let Some(last_event) = last_event {
         set(&mut forwarded, headers::LAST_EVENT_ID, last_event);
     }
--- a/tier/proxy/src/request/parse.rs
+++ b/tier/proxy/src/request/parse.rs
@@ -9,7 +9,9 @@
 use hyper::body::Incoming;
 use pointcross_tier_protocol::configuration::RouteType;
 use pointcross_tier_protocol::headers;
-use pointcross_tier_routing::{PromptParts, RouteTable, RoutedRequest, object_key, parse_prefix};
+use pointcross_tier_routing::{
+    PromptParts, RequestTime, RouteTable, RoutedRequest, object_key, parse_prefix, priority,
+};
 use pointcross_tier_runtime::random;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,6 +19,9 @@
 
 /// When a client may come back while no configuration is there yet.
 const NO_CONFIGURATION_MS: f64 = 200.0;
+/// How long a request waits for the first configuration of a proxy that has just started: a refusal would take one of
+/// the client's few tries.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(400);
 /// Places in the queue are ranked by time; a rank of priority counts as so many milliseconds.
 const PRIORITY_MS: u64 = 2000;
 /// The time until a program should be over counts by a part of this in the rank.
@@ -57,6 +62,8 @@
     pub last_event: Option<String>,
     /// What the object hashes by that it concerns, where servers work faster on one they have seen.
     pub object: Option<u64>,
+    /// When its program should be over.
+    pub finish: Option<Instant>,
     /// Lower ones are served first where requests wait.
     pub rank: u64,
 }
@@ -73,7 +80,7 @@
     /// Reads a request; what can't be routed has its answer already.
     pub async fn read(proxy: &Rc<Proxy>, request: Request<Incoming>) -> Result<Self, Answer> {
         let started = Instant::now();
-        let Some(table) = proxy.table.borrow().clone() else {
+        let Some(table) = proxy.first_table(started + CONFIGURATION_WAIT).await else {
             return Err(answer::refusal("no configuration is known yet", NO_CONFIGURATION_MS));
         };
         let (head, body) = request.into_parts();
@@ -97,6 +104,9 @@
         let (program, previous, last_event) =
             (owned(headers::PROGRAM), owned(headers::PREVIOUS), owned(headers::LAST_EVENT_ID));
         let prompt = text(&forwarded, headers::PROMPT_PREFIX).map(parse_prefix);
+        let finish_ms = number::<f64>(&forwarded, headers::FINISH_MS).filter(|ms| ms.is_finite());
+        let finish = finish_ms
+            .map(|ms| started + Duration::from_secs_f64(ms.clamp(0.0, MOST_FINISH_MS as f64) / 1000.0));
         let object = text(&forwarded, headers::AFFINITY_KEY).filter(|_| routed.route.sticky).map(object_key);
         let budget = number(&forwarded, headers::BUDGET);
         let attempt = forwarded.get(headers::ATTEMPT_ID).cloned();
@@ -121,6 +131,7 @@
             previous,
             last_event,
             object,
+            finish,
             rank,
         })
     }
@@ -135,6 +146,14 @@
         self.deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0
     }
 
+    /// How urgent it is to an engine by now.
+    pub fn priority(&self) -> u8 {
+        let now = Instant::now();
+        let program_left =
+            self.finish.map(|finish| finish.saturating_duration_since(now).as_secs_f64() * 1000.0);
+        priority(RequestTime { left: self.left_ms(), timeout: self.routed.route.timeout_ms, program_left })
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(&self) -> bool {
         self.routed.route.route_type == RouteType::Streaming
--- a/tier/routing/src/lib.rs
+++ b/tier/routing/src/lib.rs
@@ -11,10 +11,13 @@
 mod route_table;
 mod server;
 mod servers;
+mod urgency;
+mod usual_time;
 
+pub use policy::Policy;
 pub use prefix::{PromptParts, parse_prefix};
+pub use rendezvous::key as object_key;
 pub use route_table::{RouteTable, RoutedRequest};
-pub use policy::Policy;
 pub use server::{AttemptEnd, LoadReport};
-pub use rendezvous::key as object_key;
-pub use servers::{Choice, Demand, Servers};
+pub use servers::{AnswerBegin, Choice, Demand, Servers};
+pub use urgency::{RequestTime, priority};
