--- a/tier/routing/tests/plain_services.rs
+++ b/tier/routing/tests/plain_services.rs
@@ -128,7 +128,8 @@
 fn all_proxies_send_an_object_to_the_same_server() {
     let chosen: BTreeSet<String> = (0..10)
         .map(|number| {
-            let mut servers = servers(&format!("front-{number}"), Policy::default());
+            let policy = Policy { affinity: true, ..Policy::default() };
+            let mut servers = servers(&format!("front-{number}"), policy);
             play(&mut servers, 50, |_, _| 300.0);
             let wants = Demand { object: Some(object_key("account-7")), ..demand(&|_| false) };
             choose(&servers, 20_000.0, &wants).0
