--- a/tier/routing/src/cost.rs
+++ b/tier/routing/src/cost.rs
@@ -2,7 +2,6 @@
 //! behind, and what else the choice is worth.
 
 use crate::policy::Policy;
-use crate::prefix::PromptParts;
 use crate::rendezvous;
 use crate::server::Server;
 use crate::servers::Demand;
@@ -25,6 +24,9 @@
 /// The advantage of the server that a session hashes to: proxies that know nothing of it, as after a restart, choose the
 /// same one.
 const SESSION_HOME_MS: f64 = 20.0;
+/// The advantage of the servers that a prompt's shared part hashes to: an engine that serves few shared parts uses each
+/// of them often and keeps them, one that serves all of them loses them to the sessions' own parts.
+const SHARED_HOME_MS: f64 = 20.0;
 /// Where nothing is generated it is the proxy that hashes: each has few servers of its own, to which connections stay
 /// open. Less than [`OTHER_ZONE_MS`], so that these are servers of its zone.
 const PROXY_HOME_MS: f64 = 8.0;
@@ -127,9 +129,12 @@
     }
 
     fn home_advantage(&self, id: &str) -> f64 {
-        match self.demand.prompt.and_then(PromptParts::session_key) {
-            Some(session) => SESSION_HOME_MS * rendezvous::preference(session, id),
-            None => PROXY_HOME_MS * rendezvous::preference(self.proxy_key, id),
-        }
+        let Some(prompt) = self.demand.prompt else {
+            return PROXY_HOME_MS * rendezvous::preference(self.proxy_key, id);
+        };
+        let advantage =
+            |key: Option<u64>, most: f64| key.map_or(0.0, |key| most * rendezvous::preference(key, id));
+        let shared = prompt.shared_key().filter(|_| self.policy.shared_homes);
+        advantage(prompt.session_key(), SESSION_HOME_MS) + advantage(shared, SHARED_HOME_MS)
     }
 }
--- a/tier/routing/src/policy.rs
+++ b/tier/routing/src/policy.rs
@@ -7,6 +7,8 @@
     pub kept_connections: bool,
     /// Prefer the servers that a proxy, or a session, hashes to.
     pub homes: bool,
+    /// Prefer the engines that the shared part of a prompt hashes to.
+    pub shared_homes: bool,
     /// Prefer servers of the proxy's own zone.
     pub zones: bool,
     /// Prefer engines whose cache holds parts of the prompt.
@@ -26,6 +28,7 @@
         Policy {
             kept_connections: true,
             homes: true,
+            shared_homes: true,
             zones: true,
             prefixes: true,
             affinity: false,
--- a/tier/routing/src/prefix.rs
+++ b/tier/routing/src/prefix.rs
@@ -17,6 +17,14 @@
         self.parts.get(1).or(self.parts.first()).map(|(key, _)| *key)
     }
 
+    /// What a prompt shares with those of other sessions: its first part, where it has others behind it.
+    pub fn shared_key(&self) -> Option<u64> {
+        if self.parts.len() < 2 {
+            return None;
+        }
+        self.parts.first().map(|(key, _)| *key)
+    }
+
     /// Tokens of all parts.
     pub fn tokens(&self) -> u64 {
         self.parts.iter().map(|(_, tokens)| tokens).sum()
