--- a/tier/routing/tests/routing.rs
+++ b/tier/routing/tests/routing.rs
@@ -1,7 +1,9 @@
 //! Routes, admission and placement.
 
 use pointcross_tier_protocol::{Configuration, Instance, InstanceState};
-use pointcross_tier_routing::{AttemptEnd, Choice, Demand, LoadReport, RouteTable, Servers, parse_prefix};
+use pointcross_tier_routing::{
+    AttemptEnd, Choice, Demand, LoadReport, Policy, RouteTable, Servers, parse_prefix,
+};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 fn table() -> RouteTable {
@@ -163,6 +165,23 @@
     }
 }
 
+#[test]
+fn sessions_with_the_same_shared_part_keep_to_few_servers() {
+    let all: Vec<Instance> = (0..20).map(|number| server(&format!("i-{number}"), "a")).collect();
+    let used = |policy| {
+        let chosen = (0..60).filter_map(|session| {
+            let prompt = parse_prefix(&format!("aa:2500,s{session}:500"));
+            let wants = Demand { prompt: Some(&prompt), ..demand(&[]) };
+            chosen(servers(&all).with_policy(policy).choose(0.0, &wants))
+        });
+        chosen.collect::<std::collections::BTreeSet<_>>().len()
+    };
+    let without = used(Policy { shared_homes: false, ..Policy::default() });
+    assert!(without >= 15, "{without}");
+    let with = used(Policy::default());
+    assert!(with <= 10, "{with}");
+}
+
 #[test]
 fn a_load_report_is_read_or_left() {
     assert_eq!(LoadReport::parse("3, 0,8"), Some(LoadReport { running: 3, waiting: 0, slots: 8 }));
