Count homes of shared parts only at servers that tell their load

Change: a server's advantage by the shared part counts only once that server has told its load. The test plays both kinds.

--- a/tier/routing/src/cost.rs
+++ b/tier/routing/src/cost.rs
@@ -25,7 +25,8 @@
 /// same one.
 const SESSION_HOME_MS: f64 = 20.0;
 /// The advantage of the servers that a prompt's shared part hashes to: an engine that serves few shared parts uses each
-/// of them often and keeps them, one that serves all of them loses them to the sessions' own parts.
+/// of them often and keeps them, one that serves all of them loses them to the sessions' own parts. Only where servers
+/// tell their load: else all proxies crowd at the same few engines, and none sees the others there.
 const SHARED_HOME_MS: f64 = 20.0;
 /// Where nothing is generated it is the proxy that hashes: each has few servers of its own, to which connections stay
 /// open. Less than [`OTHER_ZONE_MS`], so that these are servers of its zone.
@@ -120,7 +121,7 @@
             advantages += KEPT_CONNECTION_MS;
         }
         if self.policy.homes {
-            advantages += self.home_advantage(id);
+            advantages += self.home_advantage(server);
         }
         if self.affine == Some(id) {
             advantages += AFFINITY_PART * self.foreseen(server);
@@ -128,13 +129,14 @@
         advantages
     }
 
-    fn home_advantage(&self, id: &str) -> f64 {
+    fn home_advantage(&self, server: &Server) -> f64 {
+        let id = server.instance.id.as_str();
         let Some(prompt) = self.demand.prompt else {
             return PROXY_HOME_MS * rendezvous::preference(self.proxy_key, id);
         };
         let advantage =
             |key: Option<u64>, most: f64| key.map_or(0.0, |key| most * rendezvous::preference(key, id));
-        let shared = prompt.shared_key().filter(|_| self.policy.shared_homes);
+        let shared = prompt.shared_key().filter(|_| self.policy.shared_homes && server.tells_load());
         advantage(prompt.session_key(), SESSION_HOME_MS) + advantage(shared, SHARED_HOME_MS)
     }
 }
--- a/tier/routing/src/server.rs
+++ b/tier/routing/src/server.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Whether it has ever told its load.
+    pub fn tells_load(&self) -> bool {
+        self.report.is_some()
+    }
+
     /// Requests that wait there for a place, as far as it told lately.
     pub fn waiting(&self, now: f64, report_lasts: f64) -> f64 {
         match &self.report {
--- a/tier/routing/tests/routing.rs
+++ b/tier/routing/tests/routing.rs
@@ -2,7 +2,7 @@
 
 use pointcross_tier_protocol::{Configuration, Instance, InstanceState};
 use pointcross_tier_routing::{
-    AttemptEnd, Choice, Demand, LoadReport, Policy, RouteTable, Servers, parse_prefix,
+    AnswerBegin, AttemptEnd, Choice, Demand, LoadReport, Policy, RouteTable, Servers, parse_prefix,
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -165,21 +165,32 @@
     }
 }
 
-#[test]
-fn sessions_with_the_same_shared_part_keep_to_few_servers() {
+/// How many of twenty servers get sixty sessions that share their first part.
+fn servers_of_a_shared_part(policy: Policy, tell_load: bool) -> usize {
     let all: Vec<Instance> = (0..20).map(|number| server(&format!("i-{number}"), "a")).collect();
-    let used = |policy| {
-        let chosen = (0..60).filter_map(|session| {
-            let prompt = parse_prefix(&format!("aa:2500,s{session}:500"));
-            let wants = Demand { prompt: Some(&prompt), ..demand(&[]) };
-            chosen(servers(&all).with_policy(policy).choose(0.0, &wants))
-        });
-        chosen.collect::<std::collections::BTreeSet<_>>().len()
-    };
-    let without = used(Policy { shared_homes: false, ..Policy::default() });
-    assert!(without >= 15, "{without}");
-    let with = used(Policy::default());
-    assert!(with <= 10, "{with}");
+    let chosen = (0..60).filter_map(|session| {
+        let mut servers = servers(&all).with_policy(policy);
+        for instance in all.iter().filter(|_| tell_load) {
+            let report = LoadReport::parse("0,0,8");
+            let begin = AnswerBegin { plain_route: None, took: 50.0, foreseen: 50.0, report };
+            servers.answered(0.0, &instance.id, begin);
+        }
+        let prompt = parse_prefix(&format!("aa:2500,s{session}:500"));
+        let wants = Demand { prompt: Some(&prompt), ..demand(&[]) };
+        chosen(servers.choose(0.0, &wants))
+    });
+    chosen.collect::<std::collections::BTreeSet<_>>().len()
+}
+
+#[test]
+fn sessions_with_the_same_shared_part_keep_to_few_servers_that_tell_their_load() {
+    let all = Policy::default();
+    let off = Policy { shared_homes: false, ..all };
+    let spread = servers_of_a_shared_part(off, true);
+    assert!(spread >= 15, "{spread}");
+    let kept = servers_of_a_shared_part(all, true);
+    assert!(kept <= 10, "{kept}");
+    assert_eq!(servers_of_a_shared_part(all, false), servers_of_a_shared_part(off, false));
 }
 
 #[test]
