--- a/cli/src/lab/fleet.rs
+++ b/cli/src/lab/fleet.rs
@@ -12,7 +12,7 @@
 use pointcross_experiments::report::{Lived, fleet_html};
 use serde_json::{Value, json};
 use std::path::PathBuf;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 #[derive(Args)]
 pub struct FleetRun {
@@ -95,6 +95,7 @@
             seed: self.seed,
             shards: scenario.shards,
             maintenance: scenario.maintenance.clone(),
+            plan_timeout: Duration::ZERO,
         })
     }
 
--- a/cli/tests/crossings.rs
+++ b/cli/tests/crossings.rs
@@ -123,6 +123,7 @@
         seed,
         shards: None,
         maintenance: None,
+        plan_timeout: Duration::ZERO,
     }
 }
 
--- a/cluster-harness/src/hall.rs
+++ b/cluster-harness/src/hall.rs
@@ -53,6 +53,9 @@
     pub shards: Option<usize>,
     /// The maintenance plan that the schedulers hold together, where they do.
     pub maintenance: Option<PlanSettings>,
+    /// How long the rig waits behind a scenario's end for machines of the plan that are not back yet. Zero for none:
+    /// what the scenario's own seconds don't suffice for then counts as not taken out.
+    pub plan_timeout: Duration,
 }
 
 /// Where each scheduler is, shared with the clients.
--- a/cluster-harness/src/scenario.rs
+++ b/cluster-harness/src/scenario.rs
@@ -356,6 +356,9 @@
             clients.run(fleet, length, settings.seed),
             play(scenario, &mut hall, settings.seed, plan.as_ref())
         );
+        if let Some(plan) = &plan {
+            plan.wait_until_all_back(settings.plan_timeout).await;
+        }
     };
     match &plan {
         None => sending.await,
