--- a/tier/routing/tests/golden.rs
+++ b/tier/routing/tests/golden.rs
@@ -489,6 +489,15 @@
     }
 }
 
+/// The mechanisms in service. Days in which some servers fail while the others are full.
+#[test]
+fn days_of_the_policy_in_service_go_as_recorded() {
+    for (name, failing, step_ms) in [("crowded", 3, 5), ("failing", 15, 10)] {
+        let weather = Weather { policy: Policy::default(), failing, step_ms, written_out: 900 };
+        play(&format!("routing_in_service_{name}.txt"), 70, &weather);
+    }
+}
+
 fn only_server() -> Servers {
     let mut servers = Servers::new("front-1", "zone-0");
     servers.update(&Instance { capacity: 1000, ..instance("engine", 0, 0) });
