Catch the defect that counts copies at leaving stores

Cause: two stores that leave at once and count each other leave one copy behind, but the store that has it sees the second one's end and gives its turns to another within some milliseconds (trace: transfers leave at 6.546 s, the end was at 6.546 s). Change: the crossing has the store that is lost stand still from the first end on, and is played with the defect as well as without. Result: sound code continues 40 of 40 turns, with the defect fewer.

--- a/tier/simulation/tests/broken.rs
+++ b/tier/simulation/tests/broken.rs
@@ -289,15 +289,10 @@
             }
             assert_eq!(caller.retire("core-1", leaving[0]).await, Some(200));
             assert_eq!(caller.retire("core-2", leaving[1]).await, Some(200));
-            for store in leaving {
-                while caller
-                    .retirement("core-3", store)
-                    .await
-                    .is_none_or(|state| !state.contains("completed"))
-                {
-                    cluster.pass(Duration::from_millis(10)).await;
-                }
-            }
+            wait_until_retired(&cluster, leaving[0]).await;
+            // A store that stands still from here on hands on nothing that it alone has been given.
+            cluster.freeze(lost);
+            wait_until_retired(&cluster, leaving[1]).await;
             leaving.iter().for_each(|store| cluster.power_off(store));
             cluster.wipe(lost);
             cluster.pass(Duration::from_secs(4)).await;
@@ -313,8 +308,18 @@
     })
 }
 
-/// The defect that counts copies at leaving stores is caught by random days; this is the crossing on sound code.
+async fn wait_until_retired(cluster: &Cluster, store: &str) {
+    let caller = cluster.caller();
+    while caller.retirement("core-3", store).await.is_none_or(|state| !state.contains("completed")) {
+        cluster.pass(Duration::from_millis(1)).await;
+    }
+}
+
+/// Two stores that count each other's copies leave one behind. Without the standing still the store that has it gives it
+/// to another within a few milliseconds of the second one's end, which is why random days don't meet this.
 #[test]
 fn two_stores_are_emptied_at_once_and_another_is_lost() {
     assert_eq!(continued_after_two_stores_left(None), 40);
+    let continued = continued_after_two_stores_left(Some(InjectedFault::CountLeavingStores));
+    assert!(continued < 40, "copies at leaving stores count for nothing");
 }
