Untie the demand from the servers and single pings from the stores' health

Cause: cost, admission and servers, and store_health and store_registry, each named one another. Change: Demand has a module of its own in the routing package; single pings of stores and who doesn't answer a new machine's registration are in store_ping. Result: no change of behaviour; golden files and tests of both packages pass.

--- a/tier/control/src/lib.rs
+++ b/tier/control/src/lib.rs
@@ -38,6 +38,7 @@
 mod reply;
 mod store_health;
 pub mod store_liveness;
+mod store_ping;
 mod store_registry;
 mod tombstones;
 mod watch_service;
--- a/tier/control/src/store_registry.rs
+++ b/tier/control/src/store_registry.rs
@@ -5,7 +5,7 @@
 
 use crate::member::Member;
 use crate::proposer::{self, DirectoryDecision, Undecided};
-use crate::store_health::unanswering_stores;
+use crate::store_ping::unanswering_stores;
 use log::info;
 use pointcross_tier_protocol::messages::ControlReply;
 use pointcross_tier_protocol::{StoreEntry, StoreId};
--- a/tier/routing/src/admission.rs
+++ b/tier/routing/src/admission.rs
@@ -1,8 +1,8 @@
 //! Admission by forecast, and the bound on units in flight: a request waits behind the units ahead of it over the
 //! server's learned rate; one that would come too late is refused at once.
 
+use crate::demand::Demand;
 use crate::server::Server;
-use crate::servers::Demand;
 use pointcross_scheduler::{LearnedRate, forecast};
 
 /// Part of the latency target that work may wait at a server instead of here: only what waits here keeps its order.
--- a/tier/routing/src/cost.rs
+++ b/tier/routing/src/cost.rs
@@ -1,10 +1,10 @@
 //! The cost of sending a request to a server, in milliseconds: its expected latency there, the load before it, the
 //! server's health, less what speaks for the choice. The lowest cost is chosen.
 
+use crate::demand::Demand;
 use crate::policy::Policy;
 use crate::rendezvous;
 use crate::server::Server;
-use crate::servers::Demand;
 use pointcross_tier_protocol::InstanceState;
 
 /// Prompt tokens that an engine reads in a millisecond, before anything was learned of it.
--- a/tier/routing/src/lib.rs
+++ b/tier/routing/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod cost;
+mod demand;
 mod health;
 mod overload;
 mod policy;
@@ -15,6 +16,7 @@
 mod server;
 mod servers;
 
+pub use demand::Demand;
 pub use overload::{ProgramDemand, ProgramStage};
 pub use policy::Policy;
 pub use prefix::{PromptParts, parse_prefix};
@@ -23,4 +25,4 @@
 pub use rendezvous::key as object_key;
 pub use route_table::{RouteTable, RoutedRequest};
 pub use server::{AttemptEnd, LoadReport};
-pub use servers::{AnswerBegin, Choice, Demand, Servers};
+pub use servers::{AnswerBegin, Choice, Servers};
