Add the rates of a queue's servers in their own order

Cause: the sum of the servers' rates was taken in the order of a hash map, so that its last digits, and a refusal's time to come back, differed from run to run.

--- a/tier/routing/src/admission.rs
+++ b/tier/routing/src/admission.rs
@@ -35,12 +35,15 @@
     forecast(queued_units, total_rate) + forecast(server.in_flight_units, rate(server, typical))
 }
 
-/// The sum of the servers' rates; `None` while none is known.
+/// The sum of the servers' rates; `None` while none is known. Added in the order of the rates: the servers come in no order,
+/// and a sum of floating-point numbers depends on theirs.
 pub(crate) fn total_rate<'a>(
     servers: impl Iterator<Item = &'a Server>,
     typical: &LearnedRate,
 ) -> Option<f64> {
-    servers.filter_map(|server| rate(server, typical)).reduce(|sum, rate| sum + rate)
+    let mut rates: Vec<f64> = servers.filter_map(|server| rate(server, typical)).collect();
+    rates.sort_by(f64::total_cmp);
+    rates.into_iter().reduce(|sum, rate| sum + rate)
 }
 
 /// Whether another request may be sent there now.
