Admit each turn that continues from another one, however late

Cause: a program past its time was refused under overload, also where its turn names an earlier one. After a closing fault such a turn has to reach a server while first turns do. Change: only turns without a predecessor count as late. The refusal is an option in place of a large error; a link in the harness's docs is gone.

--- a/cluster-harness/src/plan.rs
+++ b/cluster-harness/src/plan.rs
@@ -138,7 +138,7 @@
         lease.holder.strip_prefix('n')?.parse().ok()
     }
 
-    /// Looks, every [`LOOK_INTERVAL`], for as long as it is let.
+    /// Looks, every 100 ms, for as long as it is let.
     pub async fn watch(&self) {
         let mut every = tokio::time::interval(LOOK_INTERVAL);
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/tier/proxy/src/request/handler.rs
+++ b/tier/proxy/src/request/handler.rs
@@ -34,7 +34,9 @@
 /// Handles one request. The error is the answer of a request that ends before it is sent to a server.
 async fn try_handle(proxy: &Rc<Proxy>, request: Request<Incoming>) -> Result<Answer, Answer> {
     let mut context = RequestContext::read(proxy, request).await?;
-    admit_program(proxy, &context)?;
+    if let Some(refusal) = refuse_program(proxy, &context) {
+        return Err(refusal);
+    }
     let unstored = prepend_chain(proxy, &mut context).await?;
     let context = Rc::new(context);
     let mut attempts = Attempts::new(proxy, &context);
@@ -62,28 +64,31 @@
     }
 }
 
-/// Refuses a request whose program isn't admitted while its service is overloaded, before any work is done for it.
+/// The refusal of a request whose program isn't admitted while its service is overloaded, before any work is done for it.
 /// Calls of tools belong to programs under way and are always admitted.
-fn admit_program(proxy: &Proxy, context: &RequestContext) -> Result<(), Answer> {
-    let Some(program) = context.program.as_deref().filter(|_| context.prompt.is_some()) else {
-        return Ok(());
-    };
+fn refuse_program(proxy: &Proxy, context: &RequestContext) -> Option<Answer> {
+    let program = context.program.as_deref().filter(|_| context.prompt.is_some())?;
     let stage = program_stage(proxy, context, program);
     let demand = ProgramDemand { program, stage, priority: context.routed.route.priority };
-    let refused = proxy.servers.borrow().refuse_program(proxy.now_ms(), &context.routed.service, &demand);
-    if let Some(retry_after_ms) = refused {
-        return Err(answer::refusal("the service is overloaded", retry_after_ms));
+    let service = &context.routed.service;
+    let refused = proxy.servers.borrow().refuse_program(proxy.now_ms(), service, &demand);
+    if refused.is_none() {
+        proxy.programs.borrow_mut().insert(program);
     }
-    proxy.programs.borrow_mut().insert(program);
-    Ok(())
+    refused.map(|retry_after_ms| answer::refusal("the service is overloaded", retry_after_ms))
 }
 
+/// A turn that continues from another one is always of a program under way, however late that is: a client that was
+/// answered the earlier turn has to be able to go on.
 fn program_stage(proxy: &Proxy, context: &RequestContext, program: &str) -> ProgramStage {
+    if context.previous.is_some() {
+        return ProgramStage::UnderWay;
+    }
     if context.finish.is_some_and(|finish| finish <= Instant::now()) {
         return ProgramStage::Late;
     }
-    let is_under_way = context.previous.is_some() || proxy.programs.borrow().contains(program);
-    if is_under_way { ProgramStage::UnderWay } else { ProgramStage::New }
+    let is_known = proxy.programs.borrow().contains(program);
+    if is_known { ProgramStage::UnderWay } else { ProgramStage::New }
 }
 
 fn settle(grant: Option<BudgetGrant>, tokens: u64) {
