--- a/client/tests/restart_virtual.rs
+++ b/client/tests/restart_virtual.rs
@@ -198,7 +198,7 @@
         let caller = &mut self.clients[client];
         let call = CallId(caller.next_call);
         caller.next_call += 1;
-        let class = if call.0 % 3 == 0 { WRITE } else { READ };
+        let class = if call.0.is_multiple_of(3) { WRITE } else { READ };
         let wait = PAUSE.mul_f64(caller.random.random_range(1.0..3.0));
         self.figures.calls += 1;
         let deadline = self.now + DEADLINE;
