--- a/cluster-harness/src/plan.rs
+++ b/cluster-harness/src/plan.rs
@@ -144,7 +144,6 @@
         every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             every.tick().await;
-            let calls_before = self.node_calls();
             let asks = self.doors.iter().map(|&door| async move {
                 let within = Duration::from_millis(300);
                 let answer = self.caller.call("GET", door, "/maintenance/plan", "", within).await.ok()?;
@@ -152,19 +151,11 @@
             });
             let views: Vec<PlanReport> =
                 futures_util::future::join_all(asks).await.into_iter().flatten().collect();
-            self.note(views, &calls_before);
+            self.note(views);
         }
     }
 
-    /// The requests that each node has had.
-    fn node_calls(&self) -> BTreeMap<String, u64> {
-        self.nodes.iter().map(|(name, node)| (name.clone(), node.log(|log| log.calls.total()))).collect()
-    }
-
-    /// Notes views that were asked for after `calls_before` was counted. A node that an earlier view of the same round had
-    /// out, and this one has out, was out when its calls were counted in between: what came since the earlier count came
-    /// while it was out. Calls counted after the view say nothing, since the node may have been given back meanwhile.
-    fn note(&self, views: Vec<PlanReport>, calls_before: &BTreeMap<String, u64>) {
+    fn note(&self, views: Vec<PlanReport>) {
         let mut seen = self.seen.lock().unwrap();
         let Seen { verdict, newest, came_out, quiet } = &mut *seen;
         verdict.looks += 1;
@@ -192,17 +183,16 @@
             *left.entry(node.shard()).or_default() += usize::from(!counts);
             match entry.filter(|entry| entry.phase == DrainPhase::Out) {
                 None => drop(quiet.remove(name)),
-                Some(entry) => match quiet.get_mut(name) {
-                    Some((round, known)) if *round == entry.round => {
-                        let counted = calls_before.get(name).copied().unwrap_or(0).max(*known);
-                        verdict.sent_while_out += counted - *known;
-                        *known = counted;
-                    }
-                    _ => {
-                        let calls = node.log(|log| log.calls.total());
+                Some(entry) => {
+                    let calls = node.log(|log| log.calls.total());
+                    let (round, first) = *quiet.entry(name.clone()).or_insert((entry.round, calls));
+                    if round == entry.round && calls > first {
+                        verdict.sent_while_out += calls - first;
+                        quiet.insert(name.clone(), (round, calls));
+                    } else if round != entry.round {
                         quiet.insert(name.clone(), (entry.round, calls));
                     }
-                },
+                }
             }
         }
         verdict.reserve_breaks += left.values().filter(|&&left| left == 0).count();
