--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -36,6 +36,7 @@
         "ring" => ring(program, folder, &record, trouble),
         "beat" => beat(program, folder, &record, trouble),
         "retention" => retention(program, folder, &record, trouble),
+        "stale" => stale(program, folder, &record, trouble),
         "chain" => chain(program, folder, &record, trouble),
         _ => Err("no such case".to_owned()),
     };
@@ -596,3 +597,53 @@
         .line(format!("LOST {lost} of {} turns that were answered whole less than 60 s before", ended.len()));
     Ok(lost > 0)
 }
+
+/// A front machine freezes while two storage machines are added, and wakes to a turn that continues from one which only
+/// the added machines have. Without the disruption the machines are added, and nothing freezes.
+fn stale(program: &str, folder: &str, record: &Arc<Record>, trouble: bool) -> Result<bool, String> {
+    let sheet = Sheet { store_memory_mb: 260, store_disk_mb: 300, heartbeat_ms: 1200 };
+    let platform = Platform::new(program, folder, record.clone(), sheet)?;
+    boot(&platform, 60.0, 3, false)?;
+    let fronts = platform.front_addresses();
+    let front = platform.of_class("front").next().ok_or("no front machine")?;
+    if trouble {
+        record.line(format!("fault node_freeze: {} stands still", front.name));
+        platform.signal(front, SIGSTOP);
+    }
+    for _ in 0..2 {
+        platform.add_store().map_err(|error| error.to_string())?;
+    }
+    std::thread::sleep(Duration::from_millis(1000));
+    let first = session_turns(&platform, &fronts[1], 1, 0, &vec![None; WAVE], &Arc::default());
+    let known = first.iter().flatten().count();
+    let next = std::thread::scope(|scope| {
+        let turns: Vec<_> =
+            first.iter().enumerate().filter_map(|(session, id)| Some((session, id.clone()?))).collect();
+        let (platform, front_address) = (&platform, &fronts[0]);
+        let next = scope.spawn(move || {
+            std::thread::scope(|scope| {
+                let sent: Vec<_> = turns
+                    .into_iter()
+                    .map(|(session, previous)| {
+                        scope.spawn(move || {
+                            let (id, program) = (format!("77{session:010x}"), format!("s{session:05x}"));
+                            let body = b"and what followed?";
+                            try_turn(platform, front_address, &program, &id, Some(&previous), body)
+                        })
+                    })
+                    .collect();
+                let answers = sent.into_iter().filter_map(|turn| turn.join().ok()?.ok());
+                answers.filter(|answer| matches!(answer.status, 404 | 410)).count()
+            })
+        });
+        std::thread::sleep(Duration::from_millis(900));
+        if trouble {
+            platform.signal(front, SIGCONT);
+            platform.record.line(format!("fault node_freeze: {} goes on", front.name));
+        }
+        next.join().unwrap_or(0)
+    });
+    platform.end();
+    record.line(format!("LOST {next} of {known} turns that were answered whole within the last 3 s: 404"));
+    Ok(next > 0)
+}
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -3,7 +3,7 @@
 //! PROTOCOL.md and DEPLOY.md describe them, and checks one rule.
 //!
 //! Usage: harness CASE PROGRAM TEMPORARY_FOLDER RECORD; CASE is `memory`, `ring`, `chain`, or one of the further
-//! faults of the report: `beat`, `retention`.
+//! faults of the report: `beat`, `retention`, `stale`.
 //! Exit code: 1 the rule was broken, 0 it held, 2 the case could not run.
 
 mod cases;
--- a/review/harness/platform.rs
+++ b/review/harness/platform.rs
@@ -123,20 +123,22 @@
                     });
                 }
             }
-            machines.push(Machine {
-                name: "storage-zone-b-2".to_owned(),
-                class: "storage",
-                ip: format!("{subnet}.14"),
-                zone: "zone-b",
-                memory_mb: sheet.store_memory_mb,
-                spare: true,
-                waits: AtomicBool::new(true),
-                child: Mutex::new(None),
-                down_until: Mutex::new(Instant::now()),
-                memory_kills: AtomicU32::new(0),
-                peak_kb: AtomicU64::new(0),
-                starts: AtomicU32::new(0),
-            });
+            for (zone, host) in [("zone-b", 14), ("zone-a", 15)] {
+                machines.push(Machine {
+                    name: format!("storage-{zone}-2"),
+                    class: "storage",
+                    ip: format!("{subnet}.{host}"),
+                    zone,
+                    memory_mb: sheet.store_memory_mb,
+                    spare: true,
+                    waits: AtomicBool::new(true),
+                    child: Mutex::new(None),
+                    down_until: Mutex::new(Instant::now()),
+                    memory_kills: AtomicU32::new(0),
+                    peak_kb: AtomicU64::new(0),
+                    starts: AtomicU32::new(0),
+                });
+            }
             let folder = PathBuf::from(folder);
             let ending = AtomicBool::new(false);
             return Ok(Arc::new(Platform { program, folder, record, sheet, machines, subnet, port, ending }));
@@ -302,9 +304,10 @@
         }
     }
 
-    /// Adds the spare storage machine.
+    /// Adds one of the spare storage machines.
     pub fn add_store(&self) -> std::io::Result<&Machine> {
-        let spare = self.machines.iter().find(|machine| machine.spare).ok_or(std::io::ErrorKind::NotFound)?;
+        let mut spares = self.machines.iter().filter(|machine| machine.waits.load(Ordering::SeqCst));
+        let spare = spares.next().ok_or(std::io::ErrorKind::NotFound)?;
         self.record.line(format!("plan add_nodes: {}", spare.name));
         spare.waits.store(false, Ordering::SeqCst);
         Ok(spare)
