Log at a store's start how many turns its chains lack

Change: the table lists the turns that stored turns continue from and that aren't stored; a store that starts with such gaps warns `chains incomplete: store=NAME missing=N`. No fetch that failed came before the last fault. So the gap comes from the kill between acknowledgement and fetch, and lasts, since nothing fetches after a start.

--- a/tier/sessions/src/turn_table.rs
+++ b/tier/sessions/src/turn_table.rs
@@ -130,6 +130,11 @@
         ids.into_iter().filter(|id| !self.turns.contains_key(id)).collect()
     }
 
+    /// The turns that stored turns continue from and that aren't stored, in the order of their ids.
+    pub fn missing_predecessors(&self) -> Vec<TurnId> {
+        self.missing_predecessors.keys().cloned().collect()
+    }
+
     /// The turns whose records are in this generation of the ring, each with its remaining retention.
     pub fn in_generation(&self, now: Duration, generation: u64) -> Vec<TurnRecord> {
         if !self.by_generation.contains_key(&generation) {
--- a/tier/store/src/recovery.rs
+++ b/tier/store/src/recovery.rs
@@ -7,7 +7,7 @@
 use crate::disk::{Disk, OpenedDisk, StoredRecord};
 use crate::record::Record;
 use crate::state::{CompleteEpoch, Store};
-use log::info;
+use log::{info, warn};
 use pointcross_tier_protocol::Settings;
 use pointcross_tier_protocol::turns::TurnRecord;
 use pointcross_tier_runtime::environment::Environment;
@@ -47,6 +47,10 @@
         store.turns.borrow().len(),
         store.budgets.borrow().len()
     );
+    let missing = store.turns.borrow().missing_predecessors();
+    if !missing.is_empty() {
+        warn!("chains incomplete: store={} missing={}", store.settings.node, missing.len());
+    }
     Ok(RecoveredStore { store: Rc::new(store), overwritten_next })
 }
 
