Store a turn only with its complete chain, so that each replica can give it

Callers saw: a session whose turns had all been answered got 503 for good after one store lost its disk; without any loss, a session whose turn was sent shortly before its predecessor's retention ended got 404. Cause: a store acknowledged a turn before it had the turns before it, and fetched these in a detached task. A kill, or other stores that did not answer, left a gap that nothing closed: not a start, not repair, not a later turn, as only the direct predecessor was looked at. The older copy then expired, as only a store with the later turns extends it. Ruled out: fetches that fail (none before the last fault), early expiry (the other copy went at its own 60 s), the proxy's cache (its machine was killed). Change: a store rejects a turn whose predecessors it neither has nor is sent (`MissingTurns`, on the wire as before), and keeps predecessors from expiring while it writes. The proxy has the chain, since it has just sent it to a server: it sends what the store is no replica of along, in the same call, and the complete chain where a store says that it lacks more. A store says that it lacks a turn whose chain has a gap; repair sends predecessors too; gaps on disks of earlier versions are closed from other stores, after a start as well. A turn before a stored one is never denied (503, not 404). Why it works: every turn on a disk has its chain on that disk, so F + 1 acknowledgements are F + 1 complete chains.

--- a/tier/proxy/src/chain_cache.rs
+++ b/tier/proxy/src/chain_cache.rs
@@ -3,6 +3,7 @@
 //! Guarantees a bound on its memory, and that no turn is served from here past its retention time once
 //! [`ChainCache::remove_expired`] has run. Turns never change, so an entry can't be stale.
 
+use pointcross_tier_protocol::StoreId;
 use pointcross_tier_protocol::turns::{TurnId, TurnRecord};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -45,6 +46,16 @@
         }
     }
 
+    /// Notes that a store has these turns, so that it is not sent them again.
+    pub fn add_replica(&mut self, turns: &[TurnRecord], store: &StoreId) {
+        for turn in turns {
+            let Some(cached) = self.turns.get_mut(&turn.id) else { continue };
+            if !cached.record.replicas.contains(store) {
+                cached.record.replicas.push(store.clone());
+            }
+        }
+    }
+
     fn remove(&mut self, id: &str) {
         if let Some(turn) = self.turns.remove(id) {
             self.bytes -= turn.record.text.len();
--- a/tier/proxy/src/request/handler.rs
+++ b/tier/proxy/src/request/handler.rs
@@ -9,7 +9,6 @@
 use crate::budget::{self, BudgetError, BudgetGrant, TurnBudget};
 use crate::proxy::Proxy;
 use crate::turns::{self, ChainError};
-use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use log::debug;
@@ -110,16 +109,18 @@
     let program = context.program.clone().unwrap_or_default();
     let input = context.body.clone();
     let mut placement = program.clone();
+    let mut chain = Rc::default();
     if let Some(previous) = &context.previous {
         let now = Instant::now();
         let deadline = now + context.deadline.saturating_duration_since(now) * CHAIN_TIME_PERCENT / 100;
         let fetched = turns::fetch_chain(proxy, previous, &program, deadline).await;
-        let chain = fetched.map_err(chain_error_answer)?;
-        placement = chain.placement;
-        context.body = concatenate(&chain.text, &input);
+        let fetched = fetched.map_err(chain_error_answer)?;
+        placement.clone_from(&fetched.placement);
+        (context.body, chain) = fetched.prepend_to(&input);
     }
     let retention_ms = (route.retention_s * 1000.0) as u64;
-    Ok(Some(UnstoredTurn { id: attempt, previous: context.previous.clone(), placement, input, retention_ms }))
+    let previous = context.previous.clone();
+    Ok(Some(UnstoredTurn { id: attempt, previous, chain, placement, input, retention_ms }))
 }
 
 fn chain_error_answer(error: ChainError) -> Answer {
@@ -131,13 +132,6 @@
     }
 }
 
-fn concatenate(chain: &Bytes, input: &Bytes) -> Bytes {
-    let mut body = BytesMut::with_capacity(chain.len() + input.len());
-    body.extend_from_slice(chain);
-    body.extend_from_slice(input);
-    body.freeze()
-}
-
 /// Reserves the turn's maximum of tokens, where its program has a budget.
 async fn reserve(proxy: &Rc<Proxy>, context: &RequestContext) -> Result<Option<BudgetGrant>, Answer> {
     let Some(turn) = turn_budget(context) else {
--- a/tier/proxy/src/request/stream.rs
+++ b/tier/proxy/src/request/stream.rs
@@ -17,6 +17,7 @@
 use pointcross_tier_protocol::events::EventSplitter;
 use pointcross_tier_protocol::turns::TurnRecord;
 use pointcross_tier_routing::{AnswerBegin, AttemptEnd, LoadReport};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -33,6 +34,8 @@
     pub id: String,
     /// The turn before it.
     pub previous: Option<String>,
+    /// The turns before it, oldest first.
+    pub chain: Rc<[TurnRecord]>,
     /// The key that its chain is placed by.
     pub placement: String,
     /// What the client sent.
@@ -240,7 +243,7 @@
             replicas: Vec::new(),
         };
         let deadline = Instant::now() + STORE_TIMEOUT;
-        let stored = turns::store_turn(&self.attempts.proxy, record, deadline).await;
+        let stored = turns::store_turn(&self.attempts.proxy, record, turn.chain, deadline).await;
         stored.is_ok()
     }
 }
--- a/tier/proxy/src/turns/fetch.rs
+++ b/tier/proxy/src/turns/fetch.rs
@@ -1,10 +1,10 @@
 //! Reading a chain of turns: from the cache, else from the stores.
 
-use super::call::{RETRY_DELAY, StoreResponse, spawn_call, wait_until};
+use super::call::{RETRY_DELAY, StoreResponse, spawn_fetch, wait_until};
 use crate::proxy::Proxy;
 use bytes::{Bytes, BytesMut};
 use pointcross_tier_protocol::StoreEntry;
-use pointcross_tier_protocol::messages::{StoreCall, StoreReply};
+use pointcross_tier_protocol::messages::StoreReply;
 use pointcross_tier_protocol::turns::TurnRecord;
 use pointcross_tier_runtime::fault_injection::{InjectedFault, is_injected};
 use pointcross_tier_sessions::placement;
@@ -16,16 +16,39 @@
 
 /// A chain as the next turn needs it.
 pub struct Chain {
-    /// Inputs and outputs of all its turns, oldest first.
-    pub text: Bytes,
+    /// Its turns, oldest first.
+    turns: Vec<TurnRecord>,
     /// The key that its turns are placed by.
     pub placement: String,
 }
 
+impl Chain {
+    /// Puts the texts of all turns before the next one's input. Returns the joined text, and the chain's turns, oldest
+    /// first, whose texts are parts of it: held on to for as long as the request, they take no further memory for
+    /// texts.
+    pub fn prepend_to(mut self, input: &[u8]) -> (Bytes, Rc<[TurnRecord]>) {
+        let length: usize = self.turns.iter().map(|turn| turn.text.len()).sum();
+        let mut joined = BytesMut::with_capacity(length + input.len());
+        for turn in &self.turns {
+            joined.extend_from_slice(&turn.text);
+        }
+        joined.extend_from_slice(input);
+        let joined = joined.freeze();
+        let mut begin = 0;
+        for turn in &mut self.turns {
+            let end = begin + turn.text.len();
+            turn.text = joined.slice(begin..end);
+            begin = end;
+        }
+        (joined, self.turns.into())
+    }
+}
+
 /// Why a chain can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum ChainError {
-    /// No such turn exists: every store that could have it says so.
+    /// No such turn exists: every store that could have it says so. Never said of a turn that a stored one
+    /// continues from: that one was stored.
     #[snafu(display("there is no such turn"))]
     TurnNotFound,
     /// Some store that may have it did not reply before the deadline.
@@ -60,7 +83,10 @@
         let cached = proxy.chains.borrow().get(&id).cloned();
         let found = match cached {
             Some(record) => vec![record],
-            None => fetch_with_retries(proxy, &id, program, deadline).await?,
+            None => {
+                let fetched = fetch_with_retries(proxy, &id, program, deadline).await;
+                fetched.map_err(|error| if records.is_empty() { error } else { ChainError::Undetermined })?
+            }
         };
         for record in &found {
             proxy.chains.borrow_mut().insert(record.clone(), Instant::now());
@@ -71,17 +97,9 @@
     if is_injected(InjectedFault::DropOldestTurn) && records.len() > 1 {
         records.pop();
     }
-    Ok(join_records(&records, program))
-}
-
-/// Joins records, newest first, to the chain's text.
-fn join_records(records: &[TurnRecord], program: &str) -> Chain {
-    let placement = records.last().map_or_else(|| program.to_owned(), |oldest| oldest.placement.clone());
-    let mut text = BytesMut::with_capacity(records.iter().map(|record| record.text.len()).sum());
-    for record in records.iter().rev() {
-        text.extend_from_slice(&record.text);
-    }
-    Chain { text: text.freeze(), placement }
+    records.reverse();
+    let placement = records.first().map_or_else(|| program.to_owned(), |oldest| oldest.placement.clone());
+    Ok(Chain { turns: records, placement })
 }
 
 /// Passes over the stores until the result is certain or the deadline near.
@@ -140,7 +158,7 @@
     let mut in_flight = 0;
     loop {
         if let Some(store) = stores.next() {
-            spawn_call(proxy, store, StoreCall::FetchChain { id: id.to_owned() }, &sender);
+            spawn_fetch(proxy, store, id.to_owned(), &sender);
             in_flight += 1;
         } else if in_flight == 0 {
             break;
--- a/tier/proxy/src/turns/write.rs
+++ b/tier/proxy/src/turns/write.rs
@@ -1,12 +1,13 @@
-//! Storing a turn on as many stores as it needs.
+//! Storing a turn, with its chain, on as many stores as it needs.
 
-use super::call::{RETRY_DELAY, StoreResponse, spawn_call, wait_until};
+use super::call::{RETRY_DELAY, StoreResponse, spawn_transfer, wait_until};
 use crate::proxy::Proxy;
-use pointcross_tier_protocol::StoreEntry;
-use pointcross_tier_protocol::messages::{StoreCall, StoreReply};
+use pointcross_tier_protocol::messages::StoreReply;
 use pointcross_tier_protocol::turns::TurnRecord;
+use pointcross_tier_protocol::{StoreEntry, StoreId};
 use pointcross_tier_runtime::fault_injection::{InjectedFault, is_injected};
 use pointcross_tier_sessions::placement;
+use pointcross_tier_sessions::turn_transfer::TurnTransfer;
 use snafu::Snafu;
 use std::rc::Rc;
 use tokio::sync::mpsc;
@@ -21,23 +22,32 @@
 struct TurnWrite<'a> {
     proxy: &'a Rc<Proxy>,
     record: TurnRecord,
+    /// The turns before it, oldest first.
+    chain: Rc<[TurnRecord]>,
     /// Replicas that the turn needs.
     needed: usize,
-    /// Nodes that have confirmed it. A node counts once, since its disks fail together.
-    confirmed_nodes: Vec<String>,
+    /// Stores that have confirmed it, each on a node of its own: the disks of one node fail together.
+    confirmed: Vec<StoreId>,
     sender: mpsc::UnboundedSender<StoreResponse>,
     responses: mpsc::UnboundedReceiver<StoreResponse>,
 }
 
-/// Stores a turn on as many stores as it needs, and caches it.
+/// Stores a turn on as many stores as it needs, and caches it. `chain` has the turns before it, oldest first: a store
+/// that lacks some of them is given these too, and confirms the turn only with them.
 ///
 /// # Errors
 ///
 /// [`NotStored`] where too few have confirmed it before the deadline.
-pub async fn store_turn(proxy: &Rc<Proxy>, record: TurnRecord, deadline: Instant) -> Result<(), NotStored> {
+pub async fn store_turn(
+    proxy: &Rc<Proxy>,
+    record: TurnRecord,
+    chain: Rc<[TurnRecord]>,
+    deadline: Instant,
+) -> Result<(), NotStored> {
     let needed = if is_injected(InjectedFault::OneCopy) { 1 } else { proxy.stores.replicas_per_turn };
     let (sender, responses) = mpsc::unbounded_channel();
-    let mut write = TurnWrite { proxy, record, needed, confirmed_nodes: Vec::new(), sender, responses };
+    let chain = if is_injected(InjectedFault::AcknowledgeWithoutChain) { Rc::default() } else { chain };
+    let mut write = TurnWrite { proxy, record, chain, needed, confirmed: Vec::new(), sender, responses };
     while !write.is_complete() && Instant::now() < deadline {
         write.write_once(deadline).await?;
         if !write.is_complete() {
@@ -47,13 +57,15 @@
     if !write.is_complete() {
         return Err(NotStored);
     }
-    proxy.chains.borrow_mut().insert(write.record, Instant::now());
+    // The stores that have it, in place of those that were meant to.
+    let record = TurnRecord { replicas: write.confirmed, ..write.record };
+    proxy.chains.borrow_mut().insert(record, Instant::now());
     Ok(())
 }
 
 impl TurnWrite<'_> {
     fn is_complete(&self) -> bool {
-        self.confirmed_nodes.len() >= self.needed
+        self.confirmed.len() >= self.needed
     }
 
     /// One pass over the stores that have not confirmed the turn: as many at once as replicas are missing,
@@ -66,10 +78,10 @@
         let mut stores: Vec<StoreEntry> = ranked.into_iter().cloned().collect();
         self.proxy.stores.sort_unresponsive_last(&mut stores);
         self.record.replicas = stores.iter().take(self.needed).map(|store| store.id.clone()).collect();
-        stores.retain(|store| !self.confirmed_nodes.contains(&store.id.node));
+        stores.retain(|store| !self.has_confirmed(&store.id.node));
         let mut stores = stores.into_iter();
         let mut in_flight = 0;
-        for store in stores.by_ref().take(self.needed - self.confirmed_nodes.len()) {
+        for store in stores.by_ref().take(self.needed - self.confirmed.len()) {
             self.spawn_put(store, epoch);
             in_flight += 1;
         }
@@ -94,13 +106,18 @@
     }
 
     fn confirm(&mut self, store: StoreEntry) {
-        if !self.confirmed_nodes.contains(&store.id.node) {
-            self.confirmed_nodes.push(store.id.node);
+        self.proxy.chains.borrow_mut().add_replica(&self.chain, &store.id);
+        if !self.has_confirmed(&store.id.node) {
+            self.confirmed.push(store.id);
         }
     }
 
+    fn has_confirmed(&self, node: &str) -> bool {
+        self.confirmed.iter().any(|store| store.node == node)
+    }
+
     fn spawn_put(&self, store: StoreEntry, epoch: u64) {
-        let call = StoreCall::PutTurns { epoch, turns: vec![self.record.clone()] };
-        spawn_call(self.proxy, store, call, &self.sender);
+        let transfer = TurnTransfer::new(self.record.clone(), self.chain.clone(), store.id.clone());
+        spawn_transfer(self.proxy, store, epoch, transfer, &self.sender);
     }
 }
--- a/tier/runtime/src/fault_injection.rs
+++ b/tier/runtime/src/fault_injection.rs
@@ -19,6 +19,8 @@
     DrainingToldToNobody,
     /// A turn is acknowledged with a single replica.
     OneCopy,
+    /// A store acknowledges a turn, and counts as its replica, without the turns that it continues from.
+    AcknowledgeWithoutChain,
     /// The reservations of a program's other attempts are not counted against its budget.
     IgnoreOtherAttempts,
     /// A chain is returned without its oldest turn.
@@ -44,13 +46,14 @@
 
 impl InjectedFault {
     /// All faults.
-    pub const ALL: [InjectedFault; 16] = [
+    pub const ALL: [InjectedFault; 17] = [
         InjectedFault::VoteWithoutDisk,
         InjectedFault::VoteUnderOldName,
         InjectedFault::TakeAnyBase,
         InjectedFault::RefuseRepeatedOrder,
         InjectedFault::DrainingToldToNobody,
         InjectedFault::OneCopy,
+        InjectedFault::AcknowledgeWithoutChain,
         InjectedFault::IgnoreOtherAttempts,
         InjectedFault::DropOldestTurn,
         InjectedFault::RunAgain,
--- a/tier/sessions/src/turn_table.rs
+++ b/tier/sessions/src/turn_table.rs
@@ -1,8 +1,8 @@
 //! The turns of one store.
 //!
 //! Guarantees that a turn expires no earlier than any stored turn that continues from it, in whatever order
-//! the turns of a chain arrive, so that a chain is never cut at its start. Time is the store's own monotonic
-//! clock, passed in.
+//! the turns of a chain arrive, so that a chain is never cut at its start; and that a chain with a gap is known
+//! as such ([`TurnTable::has_complete_chain`]). Time is the store's own monotonic clock, passed in.
 
 use pointcross_tier_protocol::StoreId;
 use pointcross_tier_protocol::turns::{TurnId, TurnRecord};
@@ -135,6 +135,62 @@
         self.missing_predecessors.keys().cloned().collect()
     }
 
+    /// Whether a turn is stored with all turns before it in its chain.
+    pub fn has_complete_chain(&self, id: &str) -> bool {
+        if self.missing_predecessors.is_empty() {
+            return self.turns.contains_key(id);
+        }
+        let mut next = Some(id);
+        while let Some(id) = next {
+            let Some(stored) = self.turns.get(id) else { return false };
+            next = stored.record.previous.as_deref();
+        }
+        true
+    }
+
+    /// The ids among these that aren't stored with their complete chain, in the given order.
+    pub fn without_complete_chain(&self, ids: Vec<TurnId>) -> Vec<TurnId> {
+        ids.into_iter().filter(|id| !self.has_complete_chain(id)).collect()
+    }
+
+    /// The turns that these continue from and that neither are among these nor are stored with their complete
+    /// chain.
+    pub fn missing_for(&self, turns: &[TurnRecord]) -> Vec<TurnId> {
+        let ids: BTreeSet<&str> = turns.iter().map(|turn| turn.id.as_str()).collect();
+        let previous = turns.iter().filter_map(|turn| turn.previous.clone());
+        let previous: BTreeSet<TurnId> = previous.filter(|id| !ids.contains(id.as_str())).collect();
+        self.without_complete_chain(previous.into_iter().collect())
+    }
+
+    /// Extends the retention of the stored turns that these continue from to that of these, counted from
+    /// `now`, so that none of them expires while these are written.
+    pub fn retain_predecessors(&mut self, now: Duration, turns: &[TurnRecord]) {
+        for turn in turns {
+            let expires_at = now + Duration::from_millis(turn.retention_ms);
+            let mut previous = turn.previous.clone().filter(|id| self.turns.contains_key(id));
+            while let Some(before) = previous {
+                previous = self.extend_retention(&before, expires_at);
+            }
+        }
+    }
+
+    /// These turns, as far as they are stored, and all stored ones before them: each once, behind the one that
+    /// it continues from.
+    pub fn with_predecessors(&self, ids: &[TurnId]) -> Vec<TurnId> {
+        let mut ordered: Vec<TurnId> = Vec::new();
+        let mut seen: BTreeSet<&str> = BTreeSet::new();
+        for id in ids {
+            let begin = ordered.len();
+            let mut next = self.turns.get(id);
+            while let Some(stored) = next.filter(|stored| seen.insert(&stored.record.id)) {
+                ordered.push(stored.record.id.clone());
+                next = stored.record.previous.as_ref().and_then(|previous| self.turns.get(previous));
+            }
+            ordered[begin..].reverse();
+        }
+        ordered
+    }
+
     /// The turns whose records are in this generation of the ring, each with its remaining retention.
     pub fn in_generation(&self, now: Duration, generation: u64) -> Vec<TurnRecord> {
         if !self.by_generation.contains_key(&generation) {
--- a/tier/store/src/calls.rs
+++ b/tier/store/src/calls.rs
@@ -1,17 +1,19 @@
 //! Answers the calls of proxies and of other stores.
 //!
-//! Guarantees that a call is acknowledged only after what it asked for is synced (settlements excepted), and
-//! that a reservation is accepted in one epoch only: the caller's, the directory's and the one that the
-//! budgets are complete for have to be the same.
+//! Guarantees that a call is acknowledged only after what it asked for is synced (settlements excepted); that
+//! a turn is stored, and reported as stored, only with its complete chain, so that each store that counts as a
+//! replica of the turn can give the chain; and that a reservation is accepted in one epoch only: the caller's,
+//! the directory's and the one that the budgets are complete for have to be the same.
 
-use crate::chains;
 use crate::record::Record;
 use crate::state::Store;
 use crate::writes::store_turns;
 use pointcross_tier_protocol::messages::{BudgetsPosition, StoreCall, StoreReply};
 use pointcross_tier_protocol::turns::{Reservation, TurnId, TurnRecord};
 use pointcross_tier_protocol::{StoreId, StoreState};
+use pointcross_tier_runtime::fault_injection::{InjectedFault, is_injected};
 use pointcross_tier_sessions::MergeOutcome;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -29,9 +31,7 @@
         StoreCall::PutTurns { turns, .. } => put_turns(&store, turns).await,
         StoreCall::FetchChain { id } => fetch_chain(&store, &id),
         StoreCall::FindMissingTurns { callee, .. } if callee != store.id() => StoreReply::NotReady,
-        StoreCall::FindMissingTurns { ids, .. } => {
-            StoreReply::MissingTurns(store.turns.borrow().missing(ids))
-        }
+        StoreCall::FindMissingTurns { ids, .. } => StoreReply::MissingTurns(find_missing(&store, ids)),
         StoreCall::Reserve { epoch, program, reservation } => {
             reserve(&store, epoch, program, reservation).await
         }
@@ -46,6 +46,15 @@
     }
 }
 
+/// Those of these turns for which this store is no replica: it lacks them, or a part of their chains.
+fn find_missing(store: &Store, ids: Vec<TurnId>) -> Vec<TurnId> {
+    let table = store.turns.borrow();
+    match is_injected(InjectedFault::AcknowledgeWithoutChain) {
+        true => table.missing(ids),
+        false => table.without_complete_chain(ids),
+    }
+}
+
 async fn put_turns(store: &Rc<Store>, turns: Vec<TurnRecord>) -> StoreReply {
     match store.listed_state() {
         Some(StoreState::Active) => {}
@@ -60,12 +69,24 @@
     // No await stands between reading the own state and this: a store that learns that it is retiring waits
     // for all writes that began before.
     let _in_flight = store.turn_writes.begin();
-    let previous: Vec<TurnId> = turns.iter().filter_map(|turn| turn.previous.clone()).collect();
-    if !store_turns(store, turns).await {
-        return StoreReply::OutOfSpace;
+    if !is_injected(InjectedFault::AcknowledgeWithoutChain) {
+        let missing = store.turns.borrow().missing_for(&turns);
+        if !missing.is_empty() {
+            return StoreReply::MissingTurns(missing);
+        }
     }
-    chains::complete_chains(store, previous);
-    StoreReply::Done
+    let turns = retain_predecessors(store, turns);
+    if store_turns(store, turns).await { StoreReply::Done } else { StoreReply::OutOfSpace }
+}
+
+/// Keeps the predecessors of these turns from expiring while these are written. Returns the turns that have to be
+/// written: not those that are only sent as a part of another turn's chain and are stored already.
+fn retain_predecessors(store: &Store, turns: Vec<TurnRecord>) -> Vec<TurnRecord> {
+    let mut table = store.turns.borrow_mut();
+    table.retain_predecessors(store.now(), &turns);
+    let previous: BTreeSet<TurnId> = turns.iter().filter_map(|turn| turn.previous.clone()).collect();
+    let is_needed = |turn: &TurnRecord| !previous.contains(&turn.id) || table.get(&turn.id).is_none();
+    turns.into_iter().filter(is_needed).collect()
 }
 
 fn fetch_chain(store: &Store, id: &str) -> StoreReply {
--- a/tier/store/src/repair.rs
+++ b/tier/store/src/repair.rs
@@ -1,7 +1,9 @@
 //! Repair: hinted handoff, new replicas in place of lost ones, and the emptying of a retiring store.
 //!
 //! Guarantees that a turn gets back to its number of replicas after any fault that leaves one of them, and
-//! that a retiring store is reported as drained only once enough active stores have each of its turns.
+//! that a retiring store is reported as drained only once enough active stores have each of its turns. A store
+//! counts as a replica of a turn only where it has the turn's complete chain: it says so in its answers, and
+//! rejects a turn whose predecessors it lacks and isn't sent.
 //!
 //! A turn's replicas are confirmed once they were asked and have it: a replica may have been unavailable when
 //! the turn was written, and another store have stored a hint in its place (hinted handoff, DeCandia 2007,
@@ -9,6 +11,7 @@
 //! doesn't and enough other stores have the turn, the hint is dropped, and those stores are the replicas.
 //! When a replica's disk is lost, each other holder ensures that enough stores have the turn.
 
+use crate::chains;
 use crate::registration;
 use crate::state::Store;
 use log::{debug, info};
@@ -17,6 +20,8 @@
 use pointcross_tier_protocol::{Directory, StoreEntry, StoreId, StoreState};
 use pointcross_tier_runtime::fault_injection::{InjectedFault, is_injected};
 use pointcross_tier_sessions::replication::{RoundState, StoreAnswer, TurnHolders, split_batches};
+use pointcross_tier_sessions::turn_transfer::TRANSFER_BATCH_BYTES;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,8 +29,6 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// The largest number of turns asked for in one call.
 const MAX_IDS_PER_CALL: usize = 2000;
-/// Bytes of text in one call after which the next one begins.
-const BATCH_BYTES: usize = 1024 * 1024;
 /// How long another store may take to answer.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -62,15 +65,24 @@
         now: store.now(),
         own,
     };
-    let ids = store.turns.borrow().ids_where(|turn| state.needs_repair(turn));
+    let readable: Vec<&StoreEntry> =
+        directory.readable_stores().filter(|entry| entry.id != state.own).collect();
+    let mut all_replicated = chains::complete_chains(store, &readable).await && is_idle;
+    let ids = turns_to_repair(store, &state);
     let others = counted_stores(directory, &state.own);
-    let mut all_replicated = is_idle;
     for ids in ids.chunks(MAX_IDS_PER_CALL) {
         all_replicated &= repair_turns(store, ids, &others, state.is_retiring).await;
     }
     all_replicated
 }
 
+/// The turns that need repair. One whose chain has a gap that no store can close has no continuation, and needs none.
+fn turns_to_repair(store: &Store, state: &RoundState) -> Vec<TurnId> {
+    let table = store.turns.borrow();
+    let ids = table.ids_where(|turn| state.needs_repair(turn));
+    ids.into_iter().filter(|id| table.has_complete_chain(id)).collect()
+}
+
 /// The other stores that count as replicas.
 fn counted_stores<'a>(directory: &'a Directory, own: &StoreId) -> Vec<&'a StoreEntry> {
     let counted: Vec<&StoreEntry> = match is_injected(InjectedFault::CountLeavingStores) {
@@ -98,8 +110,8 @@
     confirm_replicas(store, holders, wanted, is_retiring)
 }
 
-/// Asks each store which of these turns it lacks, one after the other. Stores that don't answer are left out.
-async fn find_missing<'a>(
+/// Asks each store which of these turns, with their chains, it lacks, one after the other. Stores that don't answer are left out.
+pub async fn find_missing<'a>(
     store: &Rc<Store>,
     ids: &[TurnId],
     others: &[&'a StoreEntry],
@@ -135,25 +147,46 @@
     all_replicated
 }
 
-/// Sends turns to another store, in batches. Returns those that it has acknowledged.
+/// Sends turns to another store, with what it lacks of their chains, in batches. Returns those of `ids` that it has
+/// acknowledged.
 async fn transfer_turns(store: &Rc<Store>, other: &StoreEntry, ids: &[TurnId]) -> Vec<TurnId> {
-    let mut turns = store.turns.borrow().records(store.now(), ids);
+    let ids: BTreeSet<TurnId> = ids.iter().cloned().collect();
+    let sent = with_lacking_predecessors(store, other, &ids).await;
+    let mut turns = store.turns.borrow().records(store.now(), &sent);
     for turn in &mut turns {
         if !turn.replicas.contains(&other.id) {
             turn.replicas.push(other.id.clone());
         }
     }
     let mut acknowledged = Vec::new();
-    for turns in split_batches(turns, BATCH_BYTES) {
-        let ids: Vec<TurnId> = turns.iter().map(|turn| turn.id.clone()).collect();
+    for turns in split_batches(turns, TRANSFER_BATCH_BYTES) {
+        let batch: Vec<TurnId> = turns.iter().map(|turn| turn.id.clone()).collect();
         let call = StoreCall::PutTurns { epoch: store.epoch(), turns };
         if let Some(StoreReply::Done) = call_store(store, other, &call).await {
-            acknowledged.extend(ids);
+            acknowledged.extend(batch.into_iter().filter(|id| ids.contains(id)));
         }
     }
     acknowledged
 }
 
+/// These turns and those before them that the other store lacks, each behind the one that it continues from.
+async fn with_lacking_predecessors(
+    store: &Rc<Store>,
+    other: &StoreEntry,
+    ids: &BTreeSet<TurnId>,
+) -> Vec<TurnId> {
+    let wanted: Vec<TurnId> = ids.iter().cloned().collect();
+    let ordered = store.turns.borrow().with_predecessors(&wanted);
+    let predecessors: Vec<TurnId> = ordered.iter().filter(|id| !ids.contains(*id)).cloned().collect();
+    let mut lacking: BTreeSet<TurnId> = BTreeSet::new();
+    for predecessors in predecessors.chunks(MAX_IDS_PER_CALL) {
+        for answer in find_missing(store, predecessors, &[other]).await {
+            lacking.extend(answer.missing);
+        }
+    }
+    ordered.into_iter().filter(|id| ids.contains(id) || lacking.contains(id)).collect()
+}
+
 /// Calls another store. A failure is logged and gives `None`; the next round retries.
 async fn call_store(store: &Store, other: &StoreEntry, call: &StoreCall) -> Option<StoreReply> {
     match store.peer(other.address).call(call, STORE_TIMEOUT).await {
