--- a/tier/simulation/src/bin/simulate-tier.rs
+++ b/tier/simulation/src/bin/simulate-tier.rs
@@ -1,11 +1,12 @@
 //! Plays days of random load and faults in virtual time: `simulate-tier --seeds N --from S`.
 
 use getopts::Options;
-use pointcross_tier_simulation::chaos::{self, DayReport, InjectedFault};
+use pointcross_tier_simulation::chaos::{self, DayReport, DayShape, InjectedFault};
 use std::collections::BTreeMap;
 use std::process::ExitCode;
 
-const USAGE: &str = "Usage: simulate-tier [--seeds N] [--from SEED] [--broken NAME] [--timeline]
+const USAGE: &str =
+    "Usage: simulate-tier [--seeds N] [--from SEED] [--days SHAPE] [--broken NAME] [--timeline]
 
 Plays the days of N seeds, one process after the other, and prints one line of JSON.";
 
@@ -13,6 +14,7 @@
     seeds: u64,
     from: u64,
     timeline: bool,
+    shape: DayShape,
     defect: Option<InjectedFault>,
 }
 
@@ -20,6 +22,12 @@
     let mut options = Options::new();
     options.optopt("", "seeds", "days to play (100)", "N");
     options.optopt("", "from", "the first seed (1)", "SEED");
+    options.optopt(
+        "",
+        "days",
+        "mixed, or long-chains: chains outlast their turns' retention (mixed)",
+        "SHAPE",
+    );
     options.optflag("", "timeline", "prints what happened on each day");
     options.optopt("", "broken", "plays code with this defect, until a rule is broken", "NAME");
     options.optflag("", "list-broken", "lists the defects");
@@ -45,7 +53,10 @@
         None => Ok(usual),
     };
     let timeline = matches.opt_present("timeline");
-    Ok(Some(Wanted { seeds: number("seeds", 100)?, from: number("from", 1)?, timeline, defect }))
+    let shape = matches.opt_str("days").unwrap_or_else(|| "mixed".to_owned());
+    let shape =
+        DayShape::named(&shape).ok_or_else(|| format!("--days: {shape} is neither mixed nor long-chains"))?;
+    Ok(Some(Wanted { seeds: number("seeds", 100)?, from: number("from", 1)?, timeline, shape, defect }))
 }
 
 /// FNV-1a over what happened: the same on a second run.
@@ -67,8 +78,8 @@
     let (mut operations, mut served, mut virtual_hours, mut ledger_hash) = (0, 0, 0.0, 0xcbf2_9ce4_8422_2325);
     for seed in wanted.from..wanted.from + wanted.seeds {
         let report: DayReport = match wanted.defect {
-            Some(defect) => chaos::play_broken(seed, defect),
-            None => chaos::play(seed),
+            Some(defect) => chaos::play_broken(seed, wanted.shape, defect),
+            None => chaos::play_shaped(seed, wanted.shape),
         };
         operations += report.operations;
         served += report.served;
--- a/tier/simulation/src/caller.rs
+++ b/tier/simulation/src/caller.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{self, Reply};
 use crate::machine::{CONTROL_PORT, FOLLOW_PORT, FRONT_PORT};
-use crate::order::Order;
+use crate::order::{Order, RETENTION};
 use crate::size::host_of;
 use crate::timeline::Timeline;
 use bytes::Bytes;
@@ -25,12 +25,19 @@
 pub struct Caller {
     network: Rc<dyn Network>,
     timeline: Timeline,
+    /// How long turns are retained by the configurations that this caller orders.
+    retention: Duration,
 }
 
 impl Caller {
     /// A caller on this network, who notes what it is told.
     pub(crate) fn new(network: Rc<dyn Network>, timeline: Timeline) -> Self {
-        Caller { network, timeline }
+        Caller { network, timeline, retention: RETENTION }
+    }
+
+    /// The same caller, whose orders say that turns are retained for so long.
+    pub fn with_retention(self, retention: Duration) -> Self {
+        Caller { retention, ..self }
     }
 
     /// Calls a machine's control address as the operator.
@@ -47,12 +54,12 @@
     /// The same with so many bytes more, as a configuration of many routes has them.
     pub async fn configure_padded(&self, name: &str, base: u64, version: u64, padding: usize) -> Option<u16> {
         let order = Order { base, version, author: 0 };
-        self.send_order(name, &order, order.body() + &" ".repeat(padding)).await
+        self.send_order(name, &order, order.body_with_retention(self.retention) + &" ".repeat(padding)).await
     }
 
     /// Sends an order to one member. Gives the status of its answer.
     pub async fn order(&self, name: &str, order: &Order) -> Option<u16> {
-        self.send_order(name, order, order.body()).await
+        self.send_order(name, order, order.body_with_retention(self.retention)).await
     }
 
     async fn send_order(&self, name: &str, order: &Order, body: String) -> Option<u16> {
--- a/tier/simulation/src/chaos.rs
+++ b/tier/simulation/src/chaos.rs
@@ -5,8 +5,10 @@
 mod ledger;
 mod load;
 mod machines_leave;
+mod shape;
 
 pub use ledger::{Invariant, Violation};
+pub use shape::DayShape;
 
 use crate::cluster::{Cluster, run};
 use crate::engine::Engine;
@@ -26,16 +28,12 @@
 
 /// Time for the deployment to come up and take its first configuration.
 const START: Duration = Duration::from_secs(2);
-/// How long load and faults last.
-const LOAD: Duration = Duration::from_secs(32);
 /// The last fault strikes so long before the end of the load, or later.
 const CLOSING: Duration = Duration::from_secs(6);
 /// Deployments, by seed.
 const SIZES: [Size; 4] = [Size::SMALL, Size::TWO_MORE_STORES, Size::SMALL, Size::LARGE];
 /// After the last fault the tier serves again within this.
 const RECOVER: Duration = Duration::from_secs(12);
-/// Programs under way at the same time.
-const PROGRAMS: usize = 5;
 /// Model schedulers.
 const ENGINES: u8 = 3;
 
@@ -76,48 +74,52 @@
     PANICS.with_borrow_mut(Vec::clear);
 }
 
-/// Plays the day of a seed.
+/// Plays the mixed day of a seed.
 pub fn play(seed: u64) -> DayReport {
+    play_shaped(seed, DayShape::MIXED)
+}
+
+/// Plays the day of a seed and a shape.
+pub fn play_shaped(seed: u64, shape: DayShape) -> DayReport {
     watch_panics();
-    let mut report = run(seed, day(seed));
+    let mut report = run(seed, day(seed, shape));
     let panics = PANICS.with_borrow_mut(std::mem::take);
     let broken = |text| Violation { invariant: Invariant::NoInvariantOfTheCodeBreaks, text };
     report.violations.extend(panics.into_iter().map(broken));
     report
 }
 
-/// Plays the day of a seed on code with a defect.
-pub fn play_broken(seed: u64, defect: InjectedFault) -> DayReport {
+/// Plays the day of a seed and a shape on code with a defect.
+pub fn play_broken(seed: u64, shape: DayShape, defect: InjectedFault) -> DayReport {
     fault_injection::inject(Some(defect));
-    let report = play(seed);
+    let report = play_shaped(seed, shape);
     fault_injection::inject(None);
     report
 }
 
-async fn day(seed: u64) -> DayReport {
+async fn day(seed: u64, shape: DayShape) -> DayReport {
     let begun = Instant::now();
     let size = SIZES[seed as usize % SIZES.len()];
     let mut cluster = Cluster::start_sized(size);
     let mut engines: Vec<Engine> = (1..=ENGINES).map(|number| start_engine(&cluster, number)).collect();
     cluster.pass(START).await;
     let members = (1..=size.core).map(|number| format!("core-{number}")).collect();
-    let ledger = Rc::new(Ledger::new(cluster.timeline.clone(), members));
+    let ledger = Rc::new(Ledger::new(cluster.timeline.clone(), members, shape.retention));
     for engine in &engines {
         ledger.watch(engine.clone());
     }
-    let caller = cluster.caller();
-    let stop_at = Instant::now() + LOAD;
+    let caller = cluster.caller().with_retention(shape.retention);
+    let stop_at = Instant::now() + shape.load;
     let mut load = vec![
         spawn_local(load::operate(caller.clone(), ledger.clone(), stop_at)),
         spawn_local(load::follow(caller.clone(), ledger.clone(), stop_at)),
         spawn_local(load::probe(caller.clone(), ledger.clone(), stop_at)),
     ];
     cluster.pass(Duration::from_millis(500)).await;
-    load.extend(
-        (0..PROGRAMS)
-            .map(|number| spawn_local(load::run_programs(caller.clone(), ledger.clone(), number, stop_at))),
-    );
-    let mut plan = FaultPlan::new(size);
+    load.extend((0..shape.programs).map(|number| {
+        spawn_local(load::run_programs(caller.clone(), ledger.clone(), shape, number, stop_at))
+    }));
+    let mut plan = FaultPlan::new(size, shape);
     plan.carry_out(&mut cluster, &ledger, &mut engines, stop_at - CLOSING).await;
     plan.close(&mut cluster, &ledger).await;
     for task in load {
--- a/tier/simulation/src/chaos/faults.rs
+++ b/tier/simulation/src/chaos/faults.rs
@@ -2,6 +2,7 @@
 
 use crate::chaos::kinds::Kind;
 use crate::chaos::ledger::Ledger;
+use crate::chaos::shape::DayShape;
 use crate::cluster::Cluster;
 use crate::engine::{Engine, EngineFault};
 use crate::size::Size;
@@ -27,6 +28,7 @@
 /// The faults of a day.
 pub struct FaultPlan {
     counts: BTreeMap<&'static str, usize>,
+    shape: DayShape,
     pub(super) size: Size,
     /// The machines that count, as they are now.
     pub(super) counted: Vec<String>,
@@ -41,12 +43,13 @@
 
 impl FaultPlan {
     /// No faults yet.
-    pub fn new(size: Size) -> Self {
+    pub fn new(size: Size, shape: DayShape) -> Self {
         let names =
             |class: &'static str, count: u8| (1..=count).map(move |number| format!("{class}-{number}"));
         let counted = names("core", size.core).chain(names("storage", size.storage)).collect();
         FaultPlan {
             counts: BTreeMap::new(),
+            shape,
             size,
             counted,
             next_replacement: FIRST_REPLACEMENT,
@@ -70,7 +73,8 @@
     ) {
         while Instant::now() < stop_at {
             cluster.pass(some_time(200, 2500)).await;
-            let kind = Kind::ALL[random::below(Kind::ALL.len() as u64) as usize];
+            let kinds = self.shape.kinds;
+            let kind = kinds[random::below(kinds.len() as u64) as usize];
             *self.counts.entry(kind.name()).or_default() += 1;
             if !kind.harms_machines() {
                 self.at_servers(kind, cluster, ledger, engines).await;
@@ -83,7 +87,7 @@
                 engines.iter().for_each(|engine| engine.misbehave(5, &EngineFault::ALL));
             }
             if random::below(3) == 0 {
-                ledger.next_acknowledgement(ACKNOWLEDGED_WITHIN).await;
+                ledger.next_acknowledgement(self.shape.strikes_after_turns, ACKNOWLEDGED_WITHIN).await;
                 cluster.pass(Duration::from_millis(random::below(6))).await;
             }
             self.at_machines(kind, cluster, ledger).await;
@@ -94,8 +98,15 @@
         }
     }
 
+    /// The machines with a disk that faults strike on this day.
+    fn struck(&self) -> Vec<String> {
+        let is_struck = |name: &&String| self.shape.struck_class.is_none_or(|class| name.starts_with(class));
+        self.counted.iter().filter(is_struck).cloned().collect()
+    }
+
     fn pick_counted(&self) -> String {
-        self.counted[random::below(self.counted.len() as u64) as usize].clone()
+        let struck = self.struck();
+        struck[random::below(struck.len() as u64) as usize].clone()
     }
 
     /// Machines that count, different ones, of one class where it is given.
@@ -115,7 +126,7 @@
 
     /// As many machines as may be lost at once, or fewer.
     fn pick_tolerated(&self) -> Vec<String> {
-        self.pick_some(1 + random::below(self.size.tolerated as u64) as usize, None)
+        self.pick_some(1 + random::below(self.size.tolerated as u64) as usize, self.shape.struck_class)
     }
 
     pub(super) fn of_class(&self, class: &str) -> Vec<String> {
@@ -380,7 +391,7 @@
     /// lost lose their disks while all others lose power.
     pub async fn close(&mut self, cluster: &mut Cluster, ledger: &Rc<Ledger>) {
         ledger.fault_begins();
-        ledger.next_acknowledgement(ACKNOWLEDGED_WITHIN).await;
+        ledger.next_acknowledgement(self.shape.strikes_after_turns, ACKNOWLEDGED_WITHIN).await;
         let fault = random::below(4);
         match fault {
             0 => return,
@@ -389,7 +400,7 @@
         }
         cluster.pass(some_time(300, 1500)).await;
         if fault == 3 {
-            for lost in self.pick_some(self.size.tolerated, None) {
+            for lost in self.pick_some(self.size.tolerated, self.shape.struck_class) {
                 cluster.wipe(&lost);
             }
         }
--- a/tier/simulation/src/chaos/kinds.rs
+++ b/tier/simulation/src/chaos/kinds.rs
@@ -74,6 +74,27 @@
 }
 
 impl Kind {
+    /// Those by which copies of turns are lost, moved or held up.
+    pub const OF_STORES: [Kind; 17] = [
+        Kind::KillFront,
+        Kind::ResetConnections,
+        Kind::KillCounted,
+        Kind::PowerOffCounted,
+        Kind::WipeCounted,
+        Kind::CutOffCounted,
+        Kind::FreezeCounted,
+        Kind::StopCounted,
+        Kind::ReplaceCounted,
+        Kind::ReplaceAsPlanned,
+        Kind::KillAll,
+        Kind::PowerOffAll,
+        Kind::SlowDisk,
+        Kind::StallDisk,
+        Kind::Retire,
+        Kind::RetireAndWipe,
+        Kind::AddStore,
+    ];
+
     /// All of them.
     pub const ALL: [Kind; 34] = [
         Kind::KillFront,
--- a/tier/simulation/src/chaos/ledger.rs
+++ b/tier/simulation/src/chaos/ledger.rs
@@ -13,8 +13,6 @@
 
 /// A drained instance gets nothing later than this after the acknowledgement.
 const DRAINED_WITHIN: Duration = Duration::from_secs(2);
-/// Turns are kept for at least this.
-const MIN_TURN_RETENTION: Duration = Duration::from_secs(60);
 /// No member hands out a configuration that is older than one acknowledged so long ago.
 const DELIVERY_DEADLINE: Duration = Duration::from_millis(1500);
 /// A configuration is in force at proxies in touch within this.
@@ -90,6 +88,8 @@
 /// What was seen.
 pub struct Ledger {
     timeline: Timeline,
+    /// Turns are retained for at least this.
+    retention: Duration,
     engines: RefCell<Vec<Engine>>,
     drained: RefCell<BTreeMap<String, Instant>>,
     fault_periods: RefCell<Vec<FaultPeriod>>,
@@ -103,6 +103,7 @@
     /// Orders acknowledged, and when.
     acknowledged: RefCell<BTreeMap<Order, Instant>>,
     acknowledgements: Notify,
+    answered_turns: Notify,
     orders_refused: RefCell<BTreeSet<Order>>,
     spending: RefCell<BTreeMap<String, Spending>>,
     violations: RefCell<Vec<Violation>>,
@@ -111,10 +112,11 @@
 }
 
 impl Ledger {
-    /// Nothing seen yet; callers know these control members.
-    pub fn new(timeline: Timeline, members: Vec<String>) -> Self {
+    /// Nothing seen yet; callers know these control members, and turns are retained for so long.
+    pub fn new(timeline: Timeline, members: Vec<String>, retention: Duration) -> Self {
         Ledger {
             timeline,
+            retention,
             engines: RefCell::default(),
             drained: RefCell::default(),
             fault_periods: RefCell::default(),
@@ -125,6 +127,7 @@
             sent_through: Cell::default(),
             acknowledged: RefCell::default(),
             acknowledgements: Notify::new(),
+            answered_turns: Notify::new(),
             orders_refused: RefCell::default(),
             spending: RefCell::default(),
             violations: RefCell::default(),
@@ -178,9 +181,10 @@
         members[random::below(members.len() as u64) as usize].clone()
     }
 
-    /// Waits for the next order that is acknowledged, so long at the most.
-    pub async fn next_acknowledgement(&self, within: Duration) {
-        let _ = tokio::time::timeout(within, self.acknowledgements.notified()).await;
+    /// Waits for the next order that is acknowledged, or turn that is answered, so long at the most.
+    pub async fn next_acknowledgement(&self, of_turn: bool, within: Duration) {
+        let notify = if of_turn { &self.answered_turns } else { &self.acknowledgements };
+        let _ = tokio::time::timeout(within, notify.notified()).await;
     }
 
     /// A request goes out: what a server should get.
@@ -204,6 +208,7 @@
     pub fn answered(&self, turn: AnsweredTurn) {
         self.served.set(self.served.get() + 1);
         self.turns.borrow_mut().push(turn);
+        self.answered_turns.notify_waiters();
     }
 
     /// A client received tokens of a program with a budget.
@@ -217,11 +222,8 @@
 
     /// A turn was said not to exist.
     pub fn not_found(&self, previous: &str) {
-        let known = self
-            .turns
-            .borrow()
-            .iter()
-            .any(|turn| turn.id == previous && turn.at.elapsed() < MIN_TURN_RETENTION);
+        let known =
+            self.turns.borrow().iter().any(|turn| turn.id == previous && turn.at.elapsed() < self.retention);
         if known {
             self.broken(Invariant::TurnsAreFound, format!("{previous} was answered whole, and got 404"));
         }
@@ -230,7 +232,7 @@
     /// The turns that were answered whole lately.
     pub fn retained_turns(&self) -> Vec<AnsweredTurn> {
         let turns = self.turns.borrow();
-        turns.iter().filter(|turn| turn.at.elapsed() < MIN_TURN_RETENTION / 2).cloned().collect()
+        turns.iter().filter(|turn| turn.at.elapsed() < self.retention / 2).cloned().collect()
     }
 
     /// An order was acknowledged.
--- a/tier/simulation/src/chaos/load.rs
+++ b/tier/simulation/src/chaos/load.rs
@@ -2,14 +2,13 @@
 
 use crate::caller::{Caller, Turn};
 use crate::chaos::ledger::{AnsweredTurn, Invariant, Ledger};
+use crate::chaos::shape::DayShape;
 use crate::order::Order;
 use pointcross_tier_runtime::random;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Turns of one program.
-const MAX_TURNS: u64 = 6;
 /// Tokens of one turn.
 const TURN_TOKENS: u64 = 3;
 /// Fronts of the deployment.
@@ -30,29 +29,47 @@
 }
 
 /// Runs one program after the other until the end of the load.
-pub async fn run_programs(caller: Caller, ledger: Rc<Ledger>, lane: usize, stop_at: Instant) {
+pub async fn run_programs(
+    caller: Caller,
+    ledger: Rc<Ledger>,
+    shape: DayShape,
+    lane: usize,
+    stop_at: Instant,
+) {
     let mut number = 0;
     while Instant::now() < stop_at {
         number += 1;
         let program = format!("p{lane}.{number}");
-        run_program(&caller, &ledger, &program, stop_at).await;
+        let front = shape.has_sticky_programs.then(|| FRONTS[lane % FRONTS.len()]);
+        run_program(&caller, &ledger, shape, &program, front, stop_at).await;
         pause(20, 200).await;
     }
 }
 
-async fn run_program(caller: &Caller, ledger: &Ledger, program: &str, stop_at: Instant) {
+async fn run_program(
+    caller: &Caller,
+    ledger: &Ledger,
+    shape: DayShape,
+    program: &str,
+    front: Option<&'static str>,
+    stop_at: Instant,
+) {
     let stored = random::below(3) > 0;
     // Some run out of their budget on the way.
-    let budget = TURN_TOKENS * (2 + random::below(MAX_TURNS * 2));
+    let budget = TURN_TOKENS * (2 + random::below(shape.max_turns * 2));
     let mut previous: Option<AnsweredTurn> = None;
-    for turn in 0..MAX_TURNS {
+    for turn in 0..shape.max_turns {
         let mut answered = None;
         for attempt in 0..4 {
             if Instant::now() >= stop_at {
                 return;
             }
             let id = format!("{program}.{turn}.{attempt}");
-            match take_turn(caller, ledger, program, &id, stored, budget, previous.as_ref()).await {
+            let previous = previous.as_ref();
+            // A program whose proxy failed it tries either one.
+            let front = front.filter(|_| attempt == 0);
+            let next = NextTurn { program, id: &id, stored, budget, previous, front };
+            match take_turn(caller, ledger, &next).await {
                 Outcome::Answered(turn) => {
                     answered = Some(turn);
                     break;
@@ -63,7 +80,7 @@
         }
         let Some(answered) = answered else { return };
         previous = Some(answered).filter(|_| stored);
-        pause(10, 100).await;
+        pause(shape.pause_ms.0, shape.pause_ms.1).await;
     }
 }
 
@@ -73,15 +90,21 @@
     Ends,
 }
 
-async fn take_turn(
-    caller: &Caller,
-    ledger: &Ledger,
-    program: &str,
-    id: &str,
+/// A program's next turn.
+struct NextTurn<'a> {
+    program: &'a str,
+    /// The attempt's id.
+    id: &'a str,
+    /// Whether the turn is retained.
     stored: bool,
     budget: u64,
-    previous: Option<&AnsweredTurn>,
-) -> Outcome {
+    previous: Option<&'a AnsweredTurn>,
+    /// The proxy that it is sent to; `None` for either one.
+    front: Option<&'static str>,
+}
+
+async fn take_turn(caller: &Caller, ledger: &Ledger, next: &NextTurn<'_>) -> Outcome {
+    let &NextTurn { program, id, stored, budget, previous, front } = next;
     let input = format!("in {id};");
     let body = format!("{}{input}", previous.map_or("", |turn| turn.text.as_str()));
     ledger.sends(id, body.clone());
@@ -94,7 +117,8 @@
         max_tokens: TURN_TOKENS,
         stored,
     };
-    let Some(reply) = caller.turn(pick(&FRONTS), &turn).await else {
+    let front = front.unwrap_or_else(|| pick(&FRONTS));
+    let Some(reply) = caller.turn(front, &turn).await else {
         return Outcome::Again;
     };
     let text = String::from_utf8_lossy(&reply.body).into_owned();
@@ -275,7 +299,15 @@
             attempt += 1;
             let id = format!("{id}.{attempt}");
             let program = format!("after.{number}");
-            match take_turn(caller, ledger, &program, &id, true, 1000, Some(turn)).await {
+            let next = NextTurn {
+                program: &program,
+                id: &id,
+                stored: true,
+                budget: 1000,
+                previous: Some(turn),
+                front: None,
+            };
+            match take_turn(caller, ledger, &next).await {
                 Outcome::Answered(_) => continued = true,
                 Outcome::Ends => break,
                 Outcome::Again => pause(100, 100).await,
--- a/tier/simulation/src/order.rs
+++ b/tier/simulation/src/order.rs
@@ -1,5 +1,7 @@
 //! The operator's orders: sample configurations, each with a route of its own.
 
+use std::time::Duration;
+
 /// The routes of a sample configuration: one whose turns are kept, one whose are not.
 pub const ROUTES: &str = r#""Routes":[
     {"Name":"kept","Host":"tier.example","PathPrefix":"/kept/","RouteType":"streaming","TimeoutMs":5000,
@@ -9,6 +11,9 @@
   "Services":[{"Name":"engine","HealthPath":"/health","MaxConns":230,
     "Engine":{"Capacity":8,"KvTokens":100000,"Stride":1}}]"#;
 
+/// How long the sample routes retain turns.
+pub const RETENTION: Duration = Duration::from_secs(60);
+
 /// An order to replace the configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Order {
@@ -26,6 +31,11 @@
 impl Order {
     /// The configuration: the sample routes, and one that only this version has.
     pub fn body(&self) -> String {
+        self.body_with_retention(RETENTION)
+    }
+
+    /// The same configuration, whose turns are retained for so long.
+    pub fn body_with_retention(&self, retention: Duration) -> String {
         let Order { version, author, .. } = self;
         let only = format!(
             "\"Routes\":[{{{ONLY}{version}-{author}\",\"Host\":\"tier.example\",\
@@ -33,6 +43,7 @@
              \"TargetMs\":250,\"Priority\":2,\"Service\":\"engine\",\"MaxAttempts\":1}},"
         );
         format!("{{\"Version\":{version},{}}}", ROUTES.replacen("\"Routes\":[", &only, 1))
+            .replace("\"RetentionS\":60.0", &format!("\"RetentionS\":{:.1}", retention.as_secs_f64()))
     }
 
     /// The version and author of a configuration.
--- a/tier/simulation/tests/broken.rs
+++ b/tier/simulation/tests/broken.rs
@@ -1,7 +1,7 @@
 //! The checker can fail: code with a deliberate defect breaks the rule that the defect is made for.
 
 use pointcross_tier_runtime::fault_injection;
-use pointcross_tier_simulation::chaos::{self, InjectedFault, Invariant};
+use pointcross_tier_simulation::chaos::{self, DayShape, InjectedFault, Invariant};
 use pointcross_tier_simulation::{Cluster, Engine, Order, SERVICE, Size, Turn, run};
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -10,13 +10,13 @@
 const MAX_SEEDS: u64 = 12;
 
 fn caught(defect: InjectedFault, invariant: Invariant) {
-    caught_from(1, defect, invariant);
+    caught_from(1, DayShape::MIXED, defect, invariant);
 }
 
 /// For defects that few days meet: the days from `first` on are known to have one.
-fn caught_from(first: u64, defect: InjectedFault, invariant: Invariant) {
+fn caught_from(first: u64, shape: DayShape, defect: InjectedFault, invariant: Invariant) {
     let found = (first..first + MAX_SEEDS).any(|seed| {
-        let report = chaos::play_broken(seed, defect);
+        let report = chaos::play_broken(seed, shape, defect);
         report.violations.iter().any(|violation| violation.invariant == invariant)
     });
     assert!(found, "{defect:?} was not caught within {MAX_SEEDS} seeds from {first} on");
@@ -116,7 +116,12 @@
 
 #[test]
 fn replies_by_order() {
-    caught_from(13, InjectedFault::MatchRepliesByOrder, Invariant::WholeChain);
+    caught_from(13, DayShape::MIXED, InjectedFault::MatchRepliesByOrder, Invariant::WholeChain);
+}
+
+#[test]
+fn a_turn_that_is_acknowledged_without_its_chain() {
+    caught_from(3, DayShape::LONG_CHAINS, InjectedFault::AcknowledgeWithoutChain, Invariant::Recovers);
 }
 
 /// Plays a scenario on code with a defect, or without one.
