--- a/cli/src/lab/fleet.rs
+++ b/cli/src/lab/fleet.rs
@@ -8,7 +8,7 @@
 use pointcross_cluster_harness::ledger::Series;
 use pointcross_cluster_harness::plan::PlanVerdict;
 use pointcross_cluster_harness::scenario::{self, Scenario, rehearse};
-use pointcross_cluster_harness::{HallSettings, Verdict, virtual_time};
+use pointcross_cluster_harness::{ClusterSettings, Verdict, virtual_time};
 use pointcross_experiments::report::{Lived, fleet_html};
 use serde_json::{Value, json};
 use std::path::PathBuf;
@@ -81,10 +81,10 @@
         Ok(if holds { 0 } else { RULE_BROKEN })
     }
 
-    fn cluster_settings(&self, scenario: &Scenario) -> Result<HallSettings, String> {
+    fn cluster_settings(&self, scenario: &Scenario) -> Result<ClusterSettings, String> {
         let operator = self.operator.as_deref().map(read_text).transpose()?;
         let temporary = || std::env::temp_dir().join(format!("pointcross-fleet-{}", std::process::id()));
-        Ok(HallSettings {
+        Ok(ClusterSettings {
             program: std::env::current_exe().map_err(|error| error.to_string())?,
             folder: self.folder.clone().unwrap_or_else(temporary),
             schedulers: self.schedulers,
@@ -139,8 +139,8 @@
 }
 
 /// Plays the scenario with the same seed and faults, but without the saved node list and the operator's file.
-async fn naive_run(scenario: &Scenario, settings: &HallSettings) -> Result<Verdict, String> {
-    let naive_settings = HallSettings {
+async fn naive_run(scenario: &Scenario, settings: &ClusterSettings) -> Result<Verdict, String> {
+    let naive_settings = ClusterSettings {
         folder: settings.folder.join("naive"),
         operator: None,
         known_list: false,
--- a/cli/tests/crossings.rs
+++ b/cli/tests/crossings.rs
@@ -1,9 +1,9 @@
 //! Real processes at narrow moments: descriptors filled while discovery is down, restarts before a discovery that is
 //! down or busy, and a cold node before many of them.
 
-use pointcross_cluster_harness::HallSettings;
+use pointcross_cluster_harness::ClusterSettings;
 use pointcross_cluster_harness::client::LoadSettings;
-use pointcross_cluster_harness::hall::Hall;
+use pointcross_cluster_harness::cluster::Cluster;
 use pointcross_cluster_harness::list::ListMood;
 use pointcross_test_support::{
     SETTINGS, StubAction, connect, exchange, list_entry, ok, request, store, stub_server,
@@ -105,14 +105,14 @@
     assert_eq!((served, faults), (20, 0));
 }
 
-fn hall_settings(
+fn cluster_settings(
     folder: std::path::PathBuf,
     schedulers: usize,
     nodes: usize,
     known_list: bool,
     seed: u64,
-) -> HallSettings {
-    HallSettings {
+) -> ClusterSettings {
+    ClusterSettings {
         program: env!("CARGO_BIN_EXE_pointcross").into(),
         folder,
         schedulers,
@@ -135,30 +135,31 @@
 async fn cold_calls(schedulers: usize, seed: u64) -> u64 {
     let folder = format!("{}/cold-{schedulers}-{seed}", env!("CARGO_TARGET_TMPDIR"));
     let _ = std::fs::remove_dir_all(&folder);
-    let mut hall = Hall::build(&hall_settings(folder.into(), schedulers, 1, true, seed)).await.unwrap();
+    let mut cluster =
+        Cluster::build(&cluster_settings(folder.into(), schedulers, 1, true, seed)).await.unwrap();
     // Its power hardly grows while this plays, so that the budget is one figure.
     let cold = serde_json::json!({
         "guarantees": {"cold": 600_000.0, "cold_from": 0.2, "fall_multiple": 2.0, "tip_after": 1000.0},
         "family_info": {"young_limit": COLD_UNITS, "unit_mean": 2.0},
     });
-    for scheduler in &mut hall.schedulers {
+    for scheduler in &mut cluster.schedulers {
         scheduler.lay_over(&cold);
     }
-    hall.start_all().await.unwrap();
+    cluster.start_all().await.unwrap();
     let load = LoadSettings { rate: 200.0, write_share: 0.0, deadline_ms: 1500, shards: 1 };
-    let (clients, fleet) = hall.clients(load);
+    let (clients, fleet) = cluster.clients(load);
     let running = tokio::spawn(async move { clients.run(fleet, Duration::from_secs(6), seed).await });
     tokio::time::sleep(Duration::from_millis(2500)).await;
     for i in 0..schedulers {
-        hall.kill(i).await;
+        cluster.kill(i).await;
     }
     for i in 0..schedulers {
-        hall.start(i).await.unwrap();
+        cluster.start(i).await.unwrap();
     }
     running.await.unwrap();
-    let calls = hall.nodes[0].log(|log| (log.calls.peak_per_second(), log.calls.total()));
+    let calls = cluster.nodes[0].log(|log| (log.calls.peak_per_second(), log.calls.total()));
     for i in 0..schedulers {
-        hall.kill(i).await;
+        cluster.kill(i).await;
     }
     // How much it is used is tests/slow_start.rs's to hold, under one clock; here a busy machine may starve the rig.
     assert!(calls.1 > 0, "{schedulers} processes, seed {seed}: no call came");
@@ -197,14 +198,14 @@
     runtime.block_on(async {
         let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("ready");
         let _ = std::fs::remove_dir_all(&folder);
-        let mut hall = Hall::build(&hall_settings(folder, 20, 4, false, 26)).await.unwrap();
+        let mut cluster = Cluster::build(&cluster_settings(folder, 20, 4, false, 26)).await.unwrap();
         for start in ["first", "second"] {
-            let calls = hall.list.calls().total();
-            hall.set_list(ListMood::Down);
+            let calls = cluster.list.calls().total();
+            cluster.set_list(ListMood::Down);
             let begun = Instant::now();
-            hall.start_all().await.unwrap();
+            cluster.start_all().await.unwrap();
             let addresses: Vec<SocketAddr> =
-                hall.schedulers.iter().map(|scheduler| scheduler.address.unwrap()).collect();
+                cluster.schedulers.iter().map(|scheduler| scheduler.address.unwrap()).collect();
             let mut waits = tokio::task::JoinSet::new();
             for address in addresses {
                 waits.spawn(async move {
@@ -213,17 +214,17 @@
                 });
             }
             // Down until each has failed about four times, then busy.
-            while hall.list.calls().total() < calls + 80 {
+            while cluster.list.calls().total() < calls + 80 {
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
-            hall.set_list(ListMood::Slow { ms: 500 });
+            cluster.set_list(ListMood::Slow { ms: 500 });
             let mut times = waits.join_all().await;
             times.sort();
             let (decile, worst) = (times[17], times[19]);
             println!("{start} start: ninth decile of time to ready {decile:?}, worst {worst:?}");
             assert!(decile < Duration::from_secs(10), "{decile:?}");
             for i in 0..20 {
-                hall.kill(i).await;
+                cluster.kill(i).await;
             }
         }
     });
--- a/cli/tests/fleet.rs
+++ b/cli/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use pointcross_cluster_harness::ledger::Series;
 use pointcross_cluster_harness::scenario::{Scenario, rehearse};
-use pointcross_cluster_harness::{HallSettings, Verdict};
+use pointcross_cluster_harness::{ClusterSettings, Verdict};
 use std::time::Duration;
 
 /// A starved processor makes a plan slow, but every machine has to be out and back within this after the scenario's end.
@@ -12,7 +12,7 @@
 fn played(name: &str, scenario: &Scenario, schedulers: usize, seed: u64) -> (Verdict, Series) {
     let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = std::fs::remove_dir_all(&folder);
-    let settings = HallSettings {
+    let settings = ClusterSettings {
         program: env!("CARGO_BIN_EXE_pointcross").into(),
         folder,
         schedulers,
@@ -81,7 +81,7 @@
     assert!(verdict.sent > 1000 && verdict.served_share > 0.7, "{verdict:?}");
 }
 
-/// Guards against a hall whose schedulers all call the list service in the same second at a start: with
+/// Guards against a cluster whose schedulers all call the list service in the same second at a start: with
 /// `[list_calls]` the first calls of those that hold a saved list spread over `spread_ms`, and a watch is held
 /// long; without it, every one of twelve calls within the first second.
 #[test]
@@ -102,7 +102,7 @@
     assert_eq!(spread.served, spread.sent);
 }
 
-/// Guards against a hall whose fresh schedulers push cold nodes past their queues, at the start and again when every
+/// Guards against a cluster whose fresh schedulers push cold nodes past their queues, at the start and again when every
 /// scheduler is killed and every node starts anew: with `[ramp]` next to nothing is turned away, and without it, same
 /// seed and load, far more.
 #[test]
--- a/cluster-harness/src/hall.rs
+++ b/cluster-harness/src/cluster.rs
@@ -1,4 +1,4 @@
-//! The hall: nodes, the list service, links and schedulers, set up together and torn down together.
+//! The cluster: nodes, the list service, links and schedulers, set up together and torn down together.
 
 use crate::client::{Clients, Fleet, LoadSettings};
 use crate::ledger::{Slots, Verdict};
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The platform's settings for every scheduler of a hall: generous times, two classes, one plan.
+/// The platform's settings for every scheduler of a cluster: generous times, two classes, one plan.
 const SETTINGS: &str = r#"{"resolution":2.0,"discovery":"on_request",
  "classes":[{"name":"reading-get","aim":1000,"give_up":2000,"importance":2,"repeat":"safe","group":"all"},
   {"name":"reading-put","aim":1000,"give_up":2000,"importance":2,"repeat":"unsafe","group":"all"}],
@@ -25,14 +25,14 @@
  "family_info":{"max_units":6,"unit_mean":2,"slots_total":2,"writes":[false,true],"tells_elsewhere":true},
  "report":{"how":"inline","names":["inflight"]}}"#;
 
-/// The platform's settings of a hall.
+/// The platform's settings of a cluster.
 pub(crate) fn platform_settings() -> serde_json::Value {
     serde_json::from_str(SETTINGS).expect("the rig's own settings")
 }
 
-/// What a hall is made of.
+/// What a cluster is made of.
 #[derive(Clone, Debug)]
-pub struct HallSettings {
+pub struct ClusterSettings {
     /// The program to start.
     pub program: PathBuf,
     /// Where each scheduler's folder goes.
@@ -107,8 +107,8 @@
     }
 }
 
-/// A hall set up and running.
-pub struct Hall {
+/// A cluster set up and running.
+pub struct Cluster {
     /// The stand-in nodes.
     pub nodes: Vec<Node>,
     /// The list service.
@@ -145,12 +145,12 @@
         .map_or(0, |since| since.as_millis() as u64)
 }
 
-impl Hall {
+impl Cluster {
     /// Sets up nodes, list service, links and schedulers; starts no scheduler.
     ///
     /// # Errors
     /// A folder or a listener of the stand-ins that could not be made.
-    pub async fn build(settings: &HallSettings) -> std::io::Result<Hall> {
+    pub async fn build(settings: &ClusterSettings) -> std::io::Result<Cluster> {
         let epoch = Instant::now();
         let mut nodes = Vec::new();
         let shards = settings.shards.unwrap_or(settings.nodes).max(1);
@@ -226,10 +226,10 @@
             ready: (0..settings.schedulers).map(|_| AtomicBool::new(true)).collect(),
         };
         let places = Arc::new(places);
-        Ok(Hall { nodes, list, node_links, list_links, peer_links, peer_doors, schedulers, places, epoch })
+        Ok(Cluster { nodes, list, node_links, list_links, peer_links, peer_doors, schedulers, places, epoch })
     }
 
-    /// Time since the hall was set up.
+    /// Time since the cluster was set up.
     pub fn elapsed(&self) -> Duration {
         self.epoch.elapsed()
     }
@@ -319,7 +319,7 @@
         self.list.set(mood);
     }
 
-    /// Clients for this hall.
+    /// Clients for this cluster.
     pub fn clients(&self, load: LoadSettings) -> (Clients, Arc<dyn Fleet>) {
         (Clients::new(load), self.places.clone())
     }
--- a/cluster-harness/src/lib.rs
+++ b/cluster-harness/src/lib.rs
@@ -6,7 +6,7 @@
 //! own logs and the clients' count of answers, never from the schedulers' word.
 
 pub mod client;
-pub mod hall;
+pub mod cluster;
 pub mod ledger;
 pub mod link;
 pub mod list;
@@ -17,5 +17,5 @@
 pub mod scenario;
 pub mod virtual_time;
 
-pub use hall::{Hall, HallSettings};
+pub use cluster::{Cluster, ClusterSettings};
 pub use ledger::Verdict;
--- a/cluster-harness/src/plan.rs
+++ b/cluster-harness/src/plan.rs
@@ -1,4 +1,4 @@
-//! The maintenance plan of a hall: what the schedulers are told of each other, and what is seen of the plan while it
+//! The maintenance plan of a cluster: what the schedulers are told of each other, and what is seen of the plan while it
 //! goes on.
 //!
 //! The rig asks every scheduler for its view, past the links, and holds the views against each other and against the
--- a/cluster-harness/src/scale/run.rs
+++ b/cluster-harness/src/scale/run.rs
@@ -10,7 +10,7 @@
 use super::unix_us;
 use super::world::{Changed, World};
 use crate::client::{Clients, Fleet, splitmix};
-use crate::hall::platform_settings;
+use crate::cluster::platform_settings;
 use crate::link::{Fault, Link};
 use crate::node::{Node, NodeSettings};
 use crate::process::{Launch, Scheduler, StartError};
--- a/cluster-harness/src/scale/scenario.rs
+++ b/cluster-harness/src/scale/scenario.rs
@@ -278,7 +278,7 @@
         Ok(())
     }
 
-    /// How the hall is laid out.
+    /// How the cluster is laid out.
     pub fn layout(&self) -> Layout {
         Layout { regions: self.regions, zones: self.zones, rack: self.rack }
     }
--- a/cluster-harness/src/scale/world.rs
+++ b/cluster-harness/src/scale/world.rs
@@ -33,7 +33,7 @@
     pub up_since_ms: u64,
 }
 
-/// How a hall is laid out.
+/// How a cluster is laid out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Layout {
     /// Regions; zone `z` lies in region `z % regions`.
--- a/cluster-harness/src/scenario.rs
+++ b/cluster-harness/src/scenario.rs
@@ -1,8 +1,8 @@
-//! A scenario of faults for a hall, in TOML, and its play: the same file and seed give the same faults at the
+//! A scenario of faults for a cluster, in TOML, and its play: the same file and seed give the same faults at the
 //! same times.
 
 use crate::client::{LoadSettings, splitmix};
-use crate::hall::Hall;
+use crate::cluster::Cluster;
 use crate::link::Fault;
 use crate::list::ListMood;
 use crate::node::{Mood, NodeSettings};
@@ -216,62 +216,62 @@
     (0..count).filter(|&i| share >= 1.0 || splitmix(seed ^ (event as u64) << 40 ^ i as u64) < cut).collect()
 }
 
-/// Plays the events into the hall while its clients send; ends after the last event.
-pub async fn play(scenario: &Scenario, hall: &mut Hall, seed: u64, plan: Option<&PlanWatch>) {
+/// Plays the events into the cluster while its clients send; ends after the last event.
+pub async fn play(scenario: &Scenario, cluster: &mut Cluster, seed: u64, plan: Option<&PlanWatch>) {
     let begun = tokio::time::Instant::now();
     for (n, event) in scenario.events.iter().enumerate() {
         tokio::time::sleep_until(begun + Duration::from_secs_f64(event.at)).await;
-        hall.check();
-        let schedulers = hall.schedulers.len();
-        let nodes = hall.nodes.len();
+        cluster.check();
+        let schedulers = cluster.schedulers.len();
+        let nodes = cluster.nodes.len();
         match &event.what {
             What::Kill(pick) => {
                 for i in pick.members(schedulers, seed, n) {
-                    hall.kill(i).await;
+                    cluster.kill(i).await;
                 }
             }
             What::Terminate(pick) => {
                 for i in pick.members(schedulers, seed, n) {
-                    hall.terminate(i).await;
+                    cluster.terminate(i).await;
                 }
             }
             What::Restart(pick) => {
                 // One that does not start leaves its clients without it, which the verdict shows.
-                let _ = hall.start_these(&pick.members(schedulers, seed, n)).await;
+                let _ = cluster.start_these(&pick.members(schedulers, seed, n)).await;
             }
             What::NodeLinks { pick, fault } => {
                 for i in pick.members(schedulers, seed, n) {
                     for node in 0..nodes {
-                        hall.set_node_link(i, node, *fault);
+                        cluster.set_node_link(i, node, *fault);
                     }
                 }
             }
             What::ListLinks { pick, fault } => {
                 for i in pick.members(schedulers, seed, n) {
-                    hall.set_list_link(i, *fault);
+                    cluster.set_list_link(i, *fault);
                 }
             }
             What::Nodes { pick, mood } => {
                 for node in pick.members(nodes, seed, n) {
-                    hall.set_node(node, *mood);
+                    cluster.set_node(node, *mood);
                 }
             }
             What::RestartNodes(pick) => {
                 for node in pick.members(nodes, seed, n) {
-                    hall.restart_node(node);
+                    cluster.restart_node(node);
                 }
             }
-            What::List { mood } => hall.set_list(*mood),
+            What::List { mood } => cluster.set_list(*mood),
             What::PeerLinks { pick, fault } => {
                 for i in pick.members(schedulers, seed, n) {
-                    hall.set_peer_links(i, *fault);
+                    cluster.set_peer_links(i, *fault);
                 }
             }
             What::KillHolder => {
                 // The plan is looked at ten times a second: its holder may not have been seen yet.
                 for _ in 0..100 {
                     if let Some(i) = plan.and_then(PlanWatch::holder) {
-                        hall.kill(i).await;
+                        cluster.kill(i).await;
                         break;
                     }
                     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -311,18 +311,18 @@
     }
 }
 
-/// Sets a hall up for the scenario, starts every scheduler at once, sends and plays the events side by side,
-/// stops the hall and gives the verdict.
+/// Sets a cluster up for the scenario, starts every scheduler at once, sends and plays the events side by side,
+/// stops the cluster and gives the verdict.
 ///
 /// # Errors
 /// A process or a stand-in that could not be started.
 pub async fn rehearse(
     scenario: &Scenario,
-    settings: &crate::hall::HallSettings,
+    settings: &crate::cluster::ClusterSettings,
 ) -> Result<(crate::ledger::Verdict, crate::ledger::Series), crate::process::StartError> {
     let operator =
         scenario.operator.as_ref().map(toml::Table::to_string).or_else(|| settings.operator.clone());
-    let settings = crate::hall::HallSettings {
+    let settings = crate::cluster::ClusterSettings {
         nodes: scenario.nodes,
         node: scenario.node.clone(),
         known_list: scenario.known_list || settings.known_list,
@@ -332,29 +332,30 @@
         ..settings.clone()
     };
     let file = |error| crate::process::StartError::File { path: settings.folder.clone(), error };
-    let mut hall = Hall::build(&settings).await.map_err(file)?;
-    let started = hall.start_all().await;
+    let mut cluster = Cluster::build(&settings).await.map_err(file)?;
+    let started = cluster.start_all().await;
     if let Err(error) = started {
-        hall.shut().await;
+        cluster.shut().await;
         return Err(error);
     }
     // Starting hundreds of processes takes seconds, in which the nodes would warm up: the day begins now.
-    hall.nodes.iter().for_each(crate::node::Node::restart);
-    let (clients, fleet) = hall.clients(scenario.load.clone());
+    cluster.nodes.iter().for_each(crate::node::Node::restart);
+    let (clients, fleet) = cluster.clients(scenario.load.clone());
     let length = Duration::from_secs_f64(scenario.seconds);
-    let begun = hall.elapsed();
+    let begun = cluster.elapsed();
     let held = Arc::new(Mutex::new(Vec::new()));
-    let watching = tokio::spawn(watch_nodes(hall.nodes.clone(), held.clone()));
+    let watching = tokio::spawn(watch_nodes(cluster.nodes.clone(), held.clone()));
     let plan = settings.maintenance.as_ref().map(|maintenance| {
-        let nodes = hall.nodes.iter().enumerate().map(|(n, node)| (crate::hall::node_name(n), node.clone()));
-        PlanWatch::new(hall.peer_doors.clone(), nodes.collect(), maintenance.limit)
+        let nodes =
+            cluster.nodes.iter().enumerate().map(|(n, node)| (crate::cluster::node_name(n), node.clone()));
+        PlanWatch::new(cluster.peer_doors.clone(), nodes.collect(), maintenance.limit)
     });
     // Where schedulers are taken out of service, clients come by a front that asks them.
-    let front = plan.as_ref().map(|_| hall.front());
+    let front = plan.as_ref().map(|_| cluster.front());
     let sending = async {
         tokio::join!(
             clients.run(fleet, length, settings.seed),
-            play(scenario, &mut hall, settings.seed, plan.as_ref())
+            play(scenario, &mut cluster, settings.seed, plan.as_ref())
         );
         if let Some(plan) = &plan {
             plan.wait_until_all_back(settings.plan_timeout).await;
@@ -371,13 +372,13 @@
     if let Some(front) = front {
         front.abort();
     }
-    let verdict = hall.verdict(&clients);
+    let verdict = cluster.verdict(&clients);
     let answers = clients.outcomes.seconds.lock().unwrap().clone();
     let held = std::mem::take(&mut *held.lock().unwrap());
-    let list_calls = hall.list.calls().per_second(begun);
+    let list_calls = cluster.list.calls().per_second(begun);
     let plan = plan.map(|plan| plan.verdict());
     let series = crate::ledger::Series { list_calls, answers, held, plan };
-    hall.shut().await;
+    cluster.shut().await;
     Ok((verdict, series))
 }
 
--- a/cluster-harness/src/virtual_time.rs
+++ b/cluster-harness/src/virtual_time.rs
@@ -148,7 +148,7 @@
         }
     }
     let operator = scenario.operator.clone().unwrap_or_default().try_into::<Operator>()?;
-    let mut settings = crate::hall::platform_settings();
+    let mut settings = crate::cluster::platform_settings();
     settings["instances"] = schedulers.into();
     let parsed = pointcross_settings::parse(settings.to_string().as_bytes()).expect("the rig's own settings");
     let node = || Node { started: UNIX, start: 0, busy: 0, waiting: VecDeque::new(), mood: Mood::Up };
@@ -520,9 +520,9 @@
     }
 
     /// Guards against figures that differ from run to run, and against a ramp that does not spare cold nodes: the
-    /// same hall without it turns requests away.
+    /// same cluster without it turns requests away.
     #[test]
-    fn a_hall_replays_and_its_ramp_spares_cold_nodes() {
+    fn a_cluster_replays_and_its_ramp_spares_cold_nodes() {
         let ramped = play(&scenario(""), 60, 7).unwrap();
         assert_eq!(ramped, play(&scenario(""), 60, 7).unwrap());
         assert!(ramped.rules_hold() && ramped.node_overloads == 0, "{ramped:?}");
--- a/experiments/src/virtual_time.rs
+++ b/experiments/src/virtual_time.rs
@@ -681,16 +681,16 @@
 
     /// Discovery tells every scheduler of these nodes, late, and not before it speaks again.
     fn tell(self: &Rc<Self>, nodes: Vec<u32>) {
-        let hall = self.clone();
+        let cluster = self.clone();
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(Duration::from_secs_f64(hall.script.site.told_late_s)).await;
-            while *hall.silenced.borrow() > 0 {
-                hall.told.notified().await;
+            tokio::time::sleep(Duration::from_secs_f64(cluster.script.site.told_late_s)).await;
+            while *cluster.silenced.borrow() > 0 {
+                cluster.told.notified().await;
             }
-            let members: Vec<Member> = nodes.iter().map(|&node| hall.member(node)).collect();
-            for number in 0..hall.script.site.schedulers {
+            let members: Vec<Member> = nodes.iter().map(|&node| cluster.member(node)).collect();
+            for number in 0..cluster.script.site.schedulers {
                 let core = {
-                    let mut schedulers = hall.schedulers.borrow_mut();
+                    let mut schedulers = cluster.schedulers.borrow_mut();
                     let scheduler = &mut schedulers[number as usize];
                     for member in &members {
                         scheduler.heard.retain(|held| held.name != member.name);
@@ -701,7 +701,7 @@
                     scheduler.core.clone()
                 };
                 let Some(core) = core else { continue };
-                let mut world = look(&hall.world);
+                let mut world = look(&cluster.world);
                 let now = world.now();
                 for (node, member) in nodes.iter().zip(&members) {
                     world.ledger.told(now, number, *node, member.state == NodeState::Ready);
@@ -844,15 +844,15 @@
 }
 
 /// Requests at their times, whether earlier ones are answered or not.
-async fn arrivals(hall: &Rc<SchedulerCluster>) {
-    let mut rng = SmallRng::seed_from_u64(hall.seed ^ 0xa551_7a15);
-    let script = &hall.script;
+async fn arrivals(cluster: &Rc<SchedulerCluster>) {
+    let mut rng = SmallRng::seed_from_u64(cluster.seed ^ 0xa551_7a15);
+    let script = &cluster.script;
     let mean = script.mean_units();
     let end = Duration::from_secs_f64(script.site.seconds);
-    let began = look(&hall.world).began;
+    let began = look(&cluster.world).began;
     let classes: f64 = script.class.iter().map(|class| class.share).sum();
     let by_plan: Vec<Vec<usize>> = (0..script.plan.len())
-        .map(|plan| (0..hall.volumes.borrow().len()).filter(|n| n % script.plan.len() == plan).collect())
+        .map(|plan| (0..cluster.volumes.borrow().len()).filter(|n| n % script.plan.len() == plan).collect())
         .collect();
     let (mut at, mut request) = (Duration::ZERO, 0u64);
     loop {
@@ -860,13 +860,13 @@
         // most, which is soon.
         let rates: Vec<f64> = (0..script.plan.len())
             .map(|plan| {
-                let volumes = hall.volumes.borrow();
+                let volumes = cluster.volumes.borrow();
                 let times: f64 = by_plan[plan].iter().map(|&volume| volumes[volume].times).sum();
-                usual_rate(script, plan) * times * hall.surges.borrow()[plan] / mean
+                usual_rate(script, plan) * times * cluster.surges.borrow()[plan] / mean
             })
             .collect();
         let all: f64 = rates.iter().sum();
-        let most = hall.volumes.borrow().iter().map(|volume| volume.times).fold(1.0, f64::max);
+        let most = cluster.volumes.borrow().iter().map(|volume| volume.times).fold(1.0, f64::max);
         // The rates are looked at anew once a tenth of a second.
         let until = at + Duration::from_millis(100);
         while at < until {
@@ -884,7 +884,7 @@
             let volumes = &by_plan[plan];
             let volume = loop {
                 let volume = volumes[rng.random_range(0..volumes.len())];
-                if rng.random::<f64>() * most <= hall.volumes.borrow()[volume].times {
+                if rng.random::<f64>() * most <= cluster.volumes.borrow()[volume].times {
                     break volume;
                 }
             };
@@ -905,7 +905,7 @@
             };
             request += 1;
             let (scheduler, new, call) = {
-                let volumes = hall.volumes.borrow();
+                let volumes = cluster.volumes.borrow();
                 let volume = &volumes[volume];
                 // The leading one carries seven tenths, the others share the rest.
                 let others = volume.schedulers.len() - 1;
@@ -936,7 +936,7 @@
                 (volume.schedulers[turn], new, call)
             };
             tokio::time::sleep_until(began + at).await;
-            tokio::task::spawn_local(client(hall.clone(), scheduler, new, call, rng.random()));
+            tokio::task::spawn_local(client(cluster.clone(), scheduler, new, call, rng.random()));
         }
         if at >= end {
             return;
@@ -955,24 +955,24 @@
 
 /// One client's request and its one retry after a refusal, as the platform's clients do; the retry comes to the
 /// same scheduler.
-async fn client(hall: Rc<SchedulerCluster>, scheduler: u32, new: NewRequest, call: Call, draw: f64) {
-    let (began, asked) = (look(&hall.world).began, Instant::now());
+async fn client(cluster: Rc<SchedulerCluster>, scheduler: u32, new: NewRequest, call: Call, draw: f64) {
+    let (began, asked) = (look(&cluster.world).began, Instant::now());
     let (plan, class, request) = (usize::from(new.plan), usize::from(new.class), call.request);
-    let kind: &Class = &hall.script.class[class];
-    let worth = kind.worth * hall.script.plan[plan].price;
+    let kind: &Class = &cluster.script.class[class];
+    let worth = kind.worth * cluster.script.plan[plan].price;
     let call = Arc::new(call);
     let mut new = new;
     let mut how = 3;
     for turn in 0..2 {
-        let Some(core) = hall.schedulers.borrow()[scheduler as usize].core.clone() else { break };
-        let net = Net { world: hall.world.clone(), scheduler };
+        let Some(core) = cluster.schedulers.borrow()[scheduler as usize].core.clone() else { break };
+        let net = Net { world: cluster.world.clone(), scheduler };
         let (asks, carried) = (new.clone(), call.clone());
         // Each try has its own id at the nodes.
         let key = request * 2 + turn;
         let serving = tokio::task::spawn_local(async move { core.serve(&net, &carried, asks).await });
-        hall.schedulers.borrow_mut()[scheduler as usize].open.insert(key, serving.abort_handle());
+        cluster.schedulers.borrow_mut()[scheduler as usize].open.insert(key, serving.abort_handle());
         let answer = serving.await;
-        hall.schedulers.borrow_mut()[scheduler as usize].open.remove(&key);
+        cluster.schedulers.borrow_mut()[scheduler as usize].open.remove(&key);
         match answer {
             Ok(Answer::Served(())) => how = 0,
             Ok(Answer::Refused { retry_after }) => {
@@ -998,15 +998,15 @@
         0 => worth * LATE_WORTH,
         _ => 0.0,
     };
-    let mut world = look(&hall.world);
+    let mut world = look(&cluster.world);
     let now = world.now();
     world.ledger.answered(now, request, how as u64);
     drop(world);
     let served = (how == 0).then_some(took);
-    hall.plans.borrow_mut()[plan].add(how, worth, earned, served);
-    hall.classes.borrow_mut()[class].add(how, worth, earned, served);
+    cluster.plans.borrow_mut()[plan].add(how, worth, earned, served);
+    cluster.classes.borrow_mut()[class].add(how, worth, earned, served);
     let second = began.elapsed().as_secs() as usize;
-    if let Some(counts) = hall.seconds.borrow_mut().get_mut(second) {
+    if let Some(counts) = cluster.seconds.borrow_mut().get_mut(second) {
         counts[how] += 1;
     }
 }
