Force a loss of power round the acknowledgement too, and share the chains' set-up

Cause: the forced ends were kills only; two tests set the same three turns up. Change: the added store also loses power, with what was not synced, at each second millisecond from 66 to 80; one set-up for the tests of repair and retirement.

--- a/tier/simulation/tests/chains.rs
+++ b/tier/simulation/tests/chains.rs
@@ -85,16 +85,17 @@
     take_turns(cluster, "front-2", next + 1).await
 }
 
-/// How many programs are continued after the added store's process ended so long after their second turns were sent.
-fn continued_after_a_kill(kill_after: Duration) -> usize {
+/// How many programs are continued after the added store ended so long after their second turns were sent: its process
+/// was killed, or its machine lost power and what was not synced.
+fn continued_after_an_end(end_after: Duration, end: fn(&mut Cluster, &str)) -> usize {
     run(41, async {
         let mut cluster = serving().await;
         assert_eq!(take_turns(&cluster, "front-1", 1).await, PROGRAMS);
         cluster.add("storage", 4, false);
         cluster.pass(CATCH_UP * 2).await;
         let second = send_turns(&cluster, "front-1", 2);
-        cluster.pass(kill_after).await;
-        cluster.kill("storage-4");
+        cluster.pass(end_after).await;
+        end(&mut cluster, "storage-4");
         cluster.pass(RESTART_DELAY).await;
         cluster.restart("storage-4");
         assert_eq!(count_answered(second).await, PROGRAMS);
@@ -107,15 +108,24 @@
 #[test]
 fn a_store_that_is_killed_as_it_acknowledges_a_turn_has_its_chain() {
     for after_ms in 60..=84 {
-        let continued = continued_after_a_kill(Duration::from_millis(after_ms));
+        let continued = continued_after_an_end(Duration::from_millis(after_ms), Cluster::kill);
         assert_eq!(continued, PROGRAMS, "killed after {after_ms} ms");
     }
 }
 
+/// Guards against a loss of power between the records of a chain: none is left whose predecessors are torn.
+#[test]
+fn a_store_that_loses_power_as_it_acknowledges_a_turn_has_its_chain() {
+    for after_ms in (66..=80).step_by(2) {
+        let continued = continued_after_an_end(Duration::from_millis(after_ms), Cluster::power_off);
+        assert_eq!(continued, PROGRAMS, "without power after {after_ms} ms");
+    }
+}
+
 #[test]
 fn a_store_that_acknowledges_a_turn_without_its_chain_loses_it_with_one_disk() {
     fault_injection::inject(Some(InjectedFault::AcknowledgeWithoutChain));
-    let continued = continued_after_a_kill(Duration::from_millis(73));
+    let continued = continued_after_an_end(Duration::from_millis(73), Cluster::kill);
     fault_injection::inject(None);
     assert!(continued < PROGRAMS, "all {continued} programs are continued");
 }
@@ -143,19 +153,26 @@
     });
 }
 
+/// Three turns of each program, the second one after a store was added; the turns before the third one are retained for
+/// its sake only.
+async fn with_expired_predecessors() -> Cluster {
+    let mut cluster = serving().await;
+    assert_eq!(take_turns(&cluster, "front-1", 1).await, PROGRAMS);
+    cluster.add("storage", 4, false);
+    cluster.pass(CATCH_UP * 2).await;
+    assert_eq!(take_turns(&cluster, "front-1", 2).await, PROGRAMS);
+    cluster.pass(PAUSE).await;
+    assert_eq!(take_turns(&cluster, "front-1", 3).await, PROGRAMS);
+    cluster.pass(UNTIL_EXPIRED).await;
+    cluster
+}
+
 /// Guards against a repair that hands on a turn without the turns before it: the store that was added, and has acknowledged
 /// the second turns, loses its disk; the turns move to stores which have let the first ones expire.
 #[test]
 fn a_turn_that_is_repaired_after_its_predecessors_expired_keeps_its_chain() {
     run(43, async {
-        let mut cluster = serving().await;
-        assert_eq!(take_turns(&cluster, "front-1", 1).await, PROGRAMS);
-        cluster.add("storage", 4, false);
-        cluster.pass(CATCH_UP * 2).await;
-        assert_eq!(take_turns(&cluster, "front-1", 2).await, PROGRAMS);
-        cluster.pass(PAUSE).await;
-        assert_eq!(take_turns(&cluster, "front-1", 3).await, PROGRAMS);
-        cluster.pass(UNTIL_EXPIRED).await;
+        let mut cluster = with_expired_predecessors().await;
         for lost in ["storage-4", "storage-1"] {
             cluster.wipe(lost);
             cluster.pass(CATCH_UP).await;
@@ -169,14 +186,7 @@
 #[test]
 fn a_store_that_is_emptied_hands_on_complete_chains() {
     run(44, async {
-        let mut cluster = serving().await;
-        assert_eq!(take_turns(&cluster, "front-1", 1).await, PROGRAMS);
-        cluster.add("storage", 4, false);
-        cluster.pass(CATCH_UP * 2).await;
-        assert_eq!(take_turns(&cluster, "front-1", 2).await, PROGRAMS);
-        cluster.pass(PAUSE).await;
-        assert_eq!(take_turns(&cluster, "front-1", 3).await, PROGRAMS);
-        cluster.pass(UNTIL_EXPIRED).await;
+        let mut cluster = with_expired_predecessors().await;
         let caller = cluster.caller();
         assert_eq!(caller.retire("core-1", "storage-1").await, Some(200));
         while caller.retirement("core-2", "storage-1").await.is_none_or(|state| !state.contains("completed"))
