--- a/cluster-harness/tests/golden_keys.rs
+++ b/cluster-harness/tests/golden_keys.rs
@@ -23,9 +23,9 @@
 /// What reads a scenario's text.
 type Reader = fn(&str) -> Outcome;
 const DEPLOYED: [(&str, Reader); 6] = [
-    ("cold-cluster-list-down.toml", read_scenario),
-    ("cold-cluster-restart.toml", read_scenario),
-    ("cold-cluster.toml", read_scenario),
+    ("cold-hall-list-down.toml", read_scenario),
+    ("cold-hall-restart.toml", read_scenario),
+    ("cold-hall.toml", read_scenario),
     ("maintenance.toml", read_scenario),
     ("scale-steady.toml", read_scale),
     ("scale.toml", read_scale),
