--- a/review/stand-ins-2/case6.rs
+++ b/review/stand-ins-2/case6.rs
@@ -3,18 +3,11 @@
 use crate::http::wait_for;
 use crate::server::Server;
 use crate::tier::{Class, RETENTION_S, SIGCONT, SIGSTOP, Tier};
-use crate::{client, start_small};
+use crate::{CONFIGURATION, client, start_small};
 use std::net::SocketAddrV4;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-const CONFIGURATION: &str = r#"{"Version":1,"Routes":[
- {"Name":"session","Host":"tier.example","PathPrefix":"/session/","RouteType":"streaming","TimeoutMs":5000,
-  "TargetMs":250,"Priority":0,"Service":"llm","MaxAttempts":2,"Retained":true,"RetentionS":60.0,"Sticky":true,
-  "Resumable":false,"gap_aim_ms":400}],
- "Services":[{"Name":"llm","HealthPath":"/health","MaxConns":230,"Protocol":"h1","Tls":false,
-  "Engine":{"Capacity":32,"KvTokens":90000,"Stride":3,"Models":[{"Name":"m"}]}}],
- "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
 /// How long the proxy stands still.
 const FROZEN: Duration = Duration::from_millis(4000);
 const PROGRAMS: usize = 60;
--- a/review/stand-ins-2/case7.rs
+++ b/review/stand-ins-2/case7.rs
@@ -1,10 +1,11 @@
 //! Case 7: after 16,384 starts of schedulers no new one is taken, though nearly all of them have ended in good order.
 
-use crate::http::{Call, wait_for};
+use crate::http::Call;
+use crate::load::{final_fault, is_unrecovered, programs};
 use crate::record::Record;
 use crate::server::Server;
-use crate::tier::{RETENTION_S, Tier};
-use crate::{client, start_small};
+use crate::tier::Tier;
+use crate::{CONFIGURATION, start_small, wait_until_served};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,32 +18,19 @@
 const AT_A_TIME: usize = 23;
 const GAP: Duration = Duration::from_secs(1);
 /// Starts of schedulers.
-const STARTS: u64 = 16_500;
-/// The session's time objective, from its first turn on.
-const FINISH: Duration = Duration::from_secs(50);
-const TRIES: u32 = 7;
-const FIRST_TURNS: u32 = 20;
+const STARTS: u64 = 16_400;
 
 fn configuration() -> String {
-    let engine = r#""HealthPath":"/health","MaxConns":230,"Protocol":"h1","Tls":false,"Engine":{"Capacity":8,"KvTokens":90000,"Stride":3,"Models":[{"Name":"m"}]}"#;
-    let turns = r#""Host":"tier.example","RouteType":"streaming","TimeoutMs":5000,"TargetMs":250,"Priority":0,"MaxAttempts":2,"Retained":true,"RetentionS":60.0,"Sticky":true,"Resumable":false,"gap_aim_ms":400"#;
     let plain = r#""Host":"tier.example","RouteType":"idempotent","TimeoutMs":1200,"TargetMs":150,"Priority":2,"MaxAttempts":2"#;
-    let mut routes = vec![
-        format!(r#"{{"Name":"session","PathPrefix":"/session/","Service":"llm-a",{turns}}}"#),
-        format!(r#"{{"Name":"draft","PathPrefix":"/draft/","Service":"llm-b",{turns}}}"#),
-    ];
-    let mut services = vec![format!(r#"{{"Name":"llm-a",{engine}}}"#), format!(r#"{{"Name":"llm-b",{engine}}}"#)];
+    let (mut routes, mut services) = (String::new(), String::new());
     for number in 0..SERVICES {
-        routes.push(format!(r#"{{"Name":"r{number}","PathPrefix":"/s{number}/","Service":"api-{number}",{plain}}}"#));
-        services.push(format!(
-            r#"{{"Name":"api-{number}","HealthPath":"/health","MaxConns":96,"Protocol":"h1","Tls":false}}"#
+        routes.push_str(&format!(r#"{{"Name":"r{number}","PathPrefix":"/s{number}/","Service":"api-{number}",{plain}}},"#));
+        services.push_str(&format!(
+            r#"{{"Name":"api-{number}","HealthPath":"/health","MaxConns":96,"Protocol":"h1","Tls":false}},"#
         ));
     }
-    format!(
-        r#"{{"Version":1,"Routes":[{}],"Services":[{}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
-        routes.join(","),
-        services.join(",")
-    )
+    let with_routes = CONFIGURATION.replace("\"Routes\":[", &format!("\"Routes\":[{routes}"));
+    with_routes.replace("\"Services\":[", &format!("\"Services\":[{services}"))
 }
 
 pub fn run(tier: &mut Tier, has_trouble: bool) -> bool {
@@ -55,26 +43,15 @@
         list.rotate_left(usize::from(number) % 3);
         Server::start(&record, id, service, SocketAddrV4::new(tier.host(number), tier.first_port + 14), list)
     };
-    let old: Vec<Server> = (0..3).map(|number: u8| start(tier, &format!("i-a{number}"), "llm-a", 60 + number)).collect();
-    let of_b: Vec<Server> = (0..3).map(|number: u8| start(tier, &format!("i-b{number}"), "llm-b", 70 + number)).collect();
-    tier.wait_ready(&["front-1", "front-2"]);
-    let fronts = [tier.front("front-1"), tier.front("front-2")];
-    let is_serving = wait_for(Duration::from_secs(10), || {
-        let id = format!("w{}", (record.seconds() * 1000.0) as u64);
-        client::turn(&record, fronts[0], "/session/t", &id, &id, None, "hi\n").status == 200
-    });
-    tier.require(is_serving, "no turn is served");
+    let old: Vec<Server> = (0..3).map(|number: u8| start(tier, &format!("i-a{number}"), "llm", 60 + number)).collect();
+    let fronts = wait_until_served(tier);
     if has_trouble {
         release_again_and_again(&record, &control);
     }
-    let begun = Instant::now();
-    let finish = || FINISH.saturating_sub(begun.elapsed());
-    let session = client::turn_within(&record, fronts[0], "/session/t", ("session", finish()), "t1", None, "first\n");
-    tier.require(session.status == 200 && session.whole, "the session's first turn is not answered whole");
-    let answered = Instant::now();
-    // A release of the session's service: the new schedulers start first, then the old ones drain and end.
-    let new: Vec<Server> = (0..3).map(|number: u8| start(tier, &format!("i-n{number}"), "llm-a", 80 + number)).collect();
-    sleep(Duration::from_secs(3));
+    let before = programs(&record, fronts, "before", 20, Duration::from_millis(20));
+    // A release of the model service: the new schedulers start first, then the old ones drain and end.
+    let new: Vec<Server> = (0..3).map(|number: u8| start(tier, &format!("i-n{number}"), "llm", 80 + number)).collect();
+    sleep(Duration::from_secs(2));
     for server in &old {
         server.drain();
     }
@@ -83,41 +60,15 @@
         server.deregister(control[number]);
         server.end();
     }
-    sleep(Duration::from_secs(4));
-    let mut tries = 0;
-    let mut reached = false;
-    for number in 0..TRIES {
-        let attempt = format!("t2.{number}");
-        let front = fronts[number as usize % 2];
-        client::turn_within(&record, front, "/session/t", ("session", finish()), &attempt, Some("t1"), "second\n");
-        tries += 1;
-        reached |= old.iter().chain(&new).any(|server| server.has_run(&attempt));
-        if reached {
-            break;
-        }
-        sleep(Duration::from_millis(600));
-    }
-    let (age, is_in_time) = (answered.elapsed(), finish() > Duration::ZERO);
-    let mut served_first = 0;
-    for number in 0..FIRST_TURNS {
-        let attempt = format!("d{number}");
-        client::turn(&record, fronts[number as usize % 2], "/draft/t", &attempt, &attempt, None, "draft\n");
-        served_first += u32::from(of_b.iter().any(|server| server.has_run(&attempt)));
-    }
+    let after = final_fault(tier, fronts, &configuration());
     for server in &new {
         let taken = server.acknowledged.load(Ordering::SeqCst);
-        record.note(format!("{}: {taken} heartbeats acknowledged in {:.0} s", server.id, age.as_secs_f64()));
+        record.note(format!("{}: {taken} heartbeats acknowledged", server.id));
     }
-    record.note(format!(
-        "the session's turn: {tries} tries, reached a scheduler: {reached}, {:.1} s after the turn that it continues from; \
-         first turns that reached one: {served_first} of {FIRST_TURNS}",
-        age.as_secs_f64()
-    ));
-    let is_retained = age < Duration::from_secs(RETENTION_S);
-    !reached && tries >= 5 && is_retained && is_in_time && served_first * 10 >= FIRST_TURNS * 9
+    is_unrecovered(&record, before, after)
 }
 
-/// Releases of all plain services until so many schedulers have started. At most some 1,200 live at a time; each sends heartbeats,
+/// Releases of all plain services until so many schedulers have started. At most some 1,400 live at a time; each sends heartbeats,
 /// says `draining`, goes on for `DrainMs` and a little longer, sends its Deregister and ends.
 fn release_again_and_again(record: &Record, control: &[SocketAddrV4]) {
     record.note(format!("releases of {SERVICES} services begin: {AT_A_TIME} schedulers at a time, each {GAP:?}"));
--- a/review/stand-ins-2/client.rs
+++ b/review/stand-ins-2/client.rs
@@ -23,26 +23,13 @@
     attempt: &str,
     previous: Option<&str>,
     input: &str,
-) -> Seen {
-    turn_within(record, front, path, (program, Duration::from_secs(15)), attempt, previous, input)
-}
-
-/// The same with the time until the program should be over.
-pub fn turn_within(
-    record: &Record,
-    front: SocketAddrV4,
-    path: &str,
-    (program, finish): (&str, Duration),
-    attempt: &str,
-    previous: Option<&str>,
-    input: &str,
 ) -> Seen {
     let mut call = Call::new("POST", path)
         .header("Host", HOST)
         .header("X-Attempt-Id", attempt)
         .header("Program", program)
         .header("Session", format!("s-{program}"))
-        .header("Finish-Ms", finish.as_millis())
+        .header("Finish-Ms", 15000)
         .header("X-Model", "m")
         .header("X-Token-Usage", "40,9")
         .header("X-Prompt-Prefix", format!("{:x}:40", attempt.len()))
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -10,15 +10,27 @@
 mod case8;
 mod client;
 mod http;
+mod load;
 mod record;
 mod relay;
 mod server;
 mod tier;
 
 use record::Record;
+use std::net::SocketAddrV4;
 use std::path::Path;
+use std::time::Duration;
 use tier::{Class, Tier};
 
+/// One model service with one route, whose turns are kept.
+pub const CONFIGURATION: &str = r#"{"Version":1,"Routes":[
+ {"Name":"session","Host":"tier.example","PathPrefix":"/session/","RouteType":"streaming","TimeoutMs":5000,
+  "TargetMs":250,"Priority":0,"Service":"llm","MaxAttempts":2,"Retained":true,"RetentionS":60.0,"Sticky":true,
+  "Resumable":false,"gap_aim_ms":400}],
+ "Services":[{"Name":"llm","HealthPath":"/health","MaxConns":230,"Protocol":"h1","Tls":false,
+  "Engine":{"Capacity":32,"KvTokens":90000,"Stride":3,"Models":[{"Name":"m"}]}}],
+ "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
+
 fn main() {
     let given: Vec<String> = std::env::args().collect();
     let [_, case, folder, file] = &given[..] else {
@@ -61,3 +73,18 @@
         tier.add(&format!("front-{number}"), Class::Front, 20 + number, zone(number), true);
     }
 }
+
+/// Waits until both proxies are ready and a turn was served. Gives their addresses.
+fn wait_until_served(tier: &Tier) -> [SocketAddrV4; 2] {
+    tier.wait_ready(&["front-1", "front-2"]);
+    let fronts = [tier.front("front-1"), tier.front("front-2")];
+    let record = &tier.record;
+    for front in fronts {
+        let is_serving = http::wait_for(Duration::from_secs(10), || {
+            let id = format!("w{}", (record.seconds() * 1000.0) as u64);
+            client::turn(record, front, load::PATH, &id, &id, None, "hi\n").status == 200
+        });
+        tier.require(is_serving, "no turn is served");
+    }
+    fronts
+}
--- a/review/stand-ins-2/server.rs
+++ b/review/stand-ins-2/server.rs
@@ -96,11 +96,6 @@
         self.record.note(format!("{}: ends", self.id));
     }
 
-    /// Whether it has run this try.
-    pub fn has_run(&self, attempt: &str) -> bool {
-        self.ran.lock().unwrap().iter().any(|ran| ran.attempt == attempt)
-    }
-
     fn beat(&self) {
         loop {
             let begun = Instant::now();
--- a/review/stand-ins-2/tier.rs
+++ b/review/stand-ins-2/tier.rs
@@ -24,6 +24,7 @@
 pub const HEARTBEAT_MS: u64 = 1200;
 pub const DRAIN_MS: u64 = 2000;
 pub const RETENTION_S: u64 = 60;
+pub const RECOVER_S: u64 = 12;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -174,7 +175,7 @@
              DiskMb = {disk}\n[FaultTolerance]\nMachines = 1\nZones = 0\nRegions = 0\n\
              [Bounds]\nSeedLagS = 3\nAddrReuseS = 2\nTouchMs = 3000\nAckMs = 4000\nCatchUpS = 4.1\n\
              DrainMs = {DRAIN_MS}\nDrainGraceS = 8\nLossSlackMs = 200\nConfigMs = 2000\nRollbackSlackMs = 250\n\
-             MaxStretchMs = 5000\nRecoverS = 12\npass_ms = 120\nagain_s = 0\nFinishS = 10\nSettleMs = 1000\n",
+             MaxStretchMs = 5000\nRecoverS = {RECOVER_S}\npass_ms = 120\nagain_s = 0\nFinishS = 10\nSettleMs = 1000\n",
             last = port + 9,
             seeds = seeds.join(","),
         )
@@ -194,6 +195,21 @@
         self.record.note(format!("{name}: {what}"));
     }
 
+    /// Kills the process of a machine.
+    pub fn kill(&mut self, name: &str) {
+        if let Some(mut child) = self.processes.remove(name) {
+            let _ = child.kill();
+            let _ = child.wait();
+            self.record.note(format!("{name}: killed"));
+        }
+    }
+
+    /// Empties the disk of a machine whose process was killed.
+    pub fn wipe(&self, name: &str) {
+        let _ = std::fs::remove_dir_all(self.folder.join("data").join(name));
+        self.record.note(format!("{name}: its disk is lost"));
+    }
+
     /// The seeds that the settings name from now on, for processes that are started later.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
         self.seeds = seeds;
