Refer watches from control processes outside the group to the members

Cause: a control process answered watches from memory while its contact with a quorum was fresh. That proves its directory current, but instances are in no register, and members push them to members only. A proxy whose two watches began at added or replaced processes got no instances, and stayed there as it was answered.

A process outside the group now sends the members where the watcher does not know them, and else NoQuorum, so that the watcher chooses a member. Both are replies of before: the wire is unchanged. Membership is checked again when a held call is answered. A log line tells which process is watched and how many instances it knows.

--- a/tier/control/src/watch_service.rs
+++ b/tier/control/src/watch_service.rs
@@ -2,6 +2,10 @@
 //!
 //! Guarantees that a watch gets no state that is older than the freshness of the quorum allows: without a
 //! fresh quorum it is answered `NoQuorum`, and the watcher asks another member.
+//!
+//! Only members answer watches from memory: members exchange instances with each other and with nobody else,
+//! so that a process that is no member, or no longer one, misses what instances say elsewhere, however fresh
+//! its contact with a quorum is. It refers a watch to the members, and the watcher moves on to one of them.
 
 use crate::member::Member;
 use crate::store_registry;
@@ -20,12 +24,22 @@
     }
 }
 
-/// Answers a long poll once there is an update. The quorum has to be fresh at the answer too, not only at the
+/// Answers a long poll once there is an update. The state has to be fresh at the answer too, not only at the
 /// request: the poll may have been pending for seconds.
 async fn answer_watch(member: &Member, request: &WatchRequest) -> ControlReply {
     if !member.has_fresh_quorum() {
         return ControlReply::NoQuorum;
     }
+    if !member.is_member() {
+        return refer_to_members(member, request);
+    }
     let reply = member.replicated_view.answer(request).await;
-    if member.has_fresh_quorum() { reply } else { ControlReply::NoQuorum }
+    let is_fresh = member.is_member() && member.has_fresh_quorum();
+    if is_fresh { reply } else { ControlReply::NoQuorum }
+}
+
+/// Sends the members where the watcher does not know them yet; `NoQuorum` makes it choose one of them.
+fn refer_to_members(member: &Member, request: &WatchRequest) -> ControlReply {
+    let referral = member.replicated_view.read(|view| view.referral_for(request));
+    referral.map_or(ControlReply::NoQuorum, |referral| ControlReply::Update(Box::new(referral)))
 }
--- a/tier/instances/src/view.rs
+++ b/tier/instances/src/view.rs
@@ -130,7 +130,7 @@
         let is_same_source = request.source == self.source;
         let known_revision = if is_same_source { request.instances_revision } else { 0 };
         let directory_is_new = self.directory.revision > request.directory_revision;
-        let members_are_new = !self.members.is_empty() && request.members_epoch < Some(self.members_epoch);
+        let members_are_new = self.has_newer_members(request);
         let revision = self.instances.revision();
         if !directory_is_new && !members_are_new && known_revision >= revision && is_same_source {
             return None;
@@ -146,6 +146,21 @@
         })
     }
 
+    fn has_newer_members(&self, request: &WatchRequest) -> bool {
+        !self.members.is_empty() && request.members_epoch < Some(self.members_epoch)
+    }
+
+    /// The members alone, for a watch that knows none or older ones; `None` where it knows these. The position
+    /// stays at the beginning: none of this process's instances were sent.
+    pub fn referral_for(&self, request: &WatchRequest) -> Option<WatchUpdate> {
+        self.has_newer_members(request).then(|| WatchUpdate {
+            members: self.members.clone(),
+            members_epoch: self.members_epoch,
+            source: self.source,
+            ..WatchUpdate::default()
+        })
+    }
+
     /// The directory, without what only the control members need and without a configuration that the caller
     /// has.
     fn directory_for(&self, request: &WatchRequest) -> Directory {
--- a/tier/runtime/src/watch/client.rs
+++ b/tier/runtime/src/watch/client.rs
@@ -46,6 +46,9 @@
         };
         match poll(&current, &shared, position).await {
             Ok(PollOutcome::Update(update)) => {
+                if update.source != position.source {
+                    log_source(&current, &update);
+                }
                 position = WatchPosition { source: update.source, revision: update.instances_revision };
                 shared.change(|view| view.apply(*update));
                 peer = Some(current);
@@ -68,6 +71,12 @@
     }
 }
 
+/// Tells which process this one learns from, and how much that knows: its first update has all of it.
+fn log_source(peer: &Peer, update: &WatchUpdate) {
+    let (member, epoch, instances) = (peer.address(), update.members_epoch, update.instances.len());
+    info!("watch started: member={member} members_epoch={epoch} instances={instances}");
+}
+
 /// How a long poll was answered.
 enum PollOutcome {
     /// With what is new.
--- a/tier/simulation/src/cluster.rs
+++ b/tier/simulation/src/cluster.rs
@@ -317,6 +317,11 @@
         self.machines[name].host
     }
 
+    /// The address at which a control machine takes calls of instances and operators.
+    pub fn control_address(&self, name: &str) -> SocketAddrV4 {
+        SocketAddrV4::new(self.machines[name].host, CONTROL_PORT)
+    }
+
     /// The control addresses of the first members.
     pub fn control_addresses(&self) -> Vec<SocketAddrV4> {
         self.seeds.clone()
--- a/tier/simulation/src/engine.rs
+++ b/tier/simulation/src/engine.rs
@@ -161,6 +161,11 @@
         *self.address.ip()
     }
 
+    /// It calls these control addresses from now on.
+    pub fn call_control(&self, control: Vec<SocketAddrV4>) {
+        *self.control.borrow_mut() = control;
+    }
+
     /// What it ran, in order.
     pub fn ran(&self) -> Vec<RanRequest> {
         self.ran.borrow().clone()
