Deny a turn only by a directory that was current when the request came

Cause: "there is no such turn" was concluded from the stores of whatever directory the proxy had. A process that stood still finds requests in its sockets, and its watches' replies too old to count; the three stores that it knew of denied the turn truthfully.

Before a 404 the proxy now reads the directory anew, through its agent. A control process answers once majorities, asked after the call came, had nothing newer (Raft's read index: no ballot, no write). A newer directory begins another pass; where none can be had, 503. New call ReadLatest with a golden file of its own; all others are as before.

Read index in quorum_contact.rs.

--- a/tier/control/src/member.rs
+++ b/tier/control/src/member.rs
@@ -199,6 +199,13 @@
         self.with_local_state(|quorum_contact, local| quorum_contact.has_fresh_quorum(local, Instant::now()))
     }
 
+    /// Whether this member knows all that was committed before `since`.
+    pub fn is_up_to_date_since(&self, since: Instant) -> bool {
+        self.with_local_state(|quorum_contact, local| {
+            quorum_contact.is_up_to_date_since(local, since, Instant::now())
+        })
+    }
+
     /// Whether a majority has this member's instances up to a revision.
     pub fn majority_has_instances(&self, revision: u64) -> bool {
         self.with_local_state(|quorum_contact, local| quorum_contact.majority_has_instances(local, revision))
--- a/tier/control/src/quorum_contact.rs
+++ b/tier/control/src/quorum_contact.rs
@@ -117,10 +117,27 @@
 
     /// Whether the member may answer from memory.
     pub fn has_fresh_quorum(&mut self, local: LocalState<'_>, now: Instant) -> bool {
+        self.has_quorum_where(local, now, |asked_at| is_fresh(asked_at, now))
+    }
+
+    /// Whether all that was committed before `since` is known to the member: a majority that was asked since
+    /// then had nothing newer. Such an answer is linearizable, as a read by Raft's read index.
+    pub fn is_up_to_date_since(&mut self, local: LocalState<'_>, since: Instant, now: Instant) -> bool {
+        self.has_quorum_where(local, now, |asked_at| asked_at >= since)
+    }
+
+    /// Whether members that are majorities, this one among them, had nothing newer when they were asked at
+    /// times that count.
+    fn has_quorum_where(
+        &mut self,
+        local: LocalState<'_>,
+        now: Instant,
+        counts: impl Fn(Instant) -> bool,
+    ) -> bool {
         self.refresh(local, now);
-        let fresh = self.up_to_date_at.iter().filter(|(_, asked_at)| is_fresh(**asked_at, now));
-        let fresh: BTreeSet<MemberId> = fresh.map(|(member, _)| *member).collect();
-        local.committed.is_some() && fresh.contains(&local.id) && self.is_majority(local, &fresh)
+        let counted = self.up_to_date_at.iter().filter(|(_, asked_at)| counts(**asked_at));
+        let counted: BTreeSet<MemberId> = counted.map(|(member, _)| *member).collect();
+        local.committed.is_some() && counted.contains(&local.id) && self.is_majority(local, &counted)
     }
 
     /// Whether a majority has the member's instances up to a revision.
--- a/tier/control/src/watch_service.rs
+++ b/tier/control/src/watch_service.rs
@@ -11,11 +11,14 @@
 use crate::store_registry;
 use pointcross_tier_protocol::messages::{ControlCall, ControlReply, WatchRequest};
 use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Answers an agent or a store.
 pub async fn answer(member: Rc<Member>, call: ControlCall) -> Option<ControlReply> {
     match call {
         ControlCall::Watch(request) => Some(answer_watch(&member, &request).await),
+        ControlCall::ReadLatest(request) => Some(read_latest(&member, &request).await),
         ControlCall::RegisterStore(entry) => store_registry::register(&member, entry).await,
         ControlCall::StoreStopping(id) => store_registry::mark_stopping(&member, id).await,
         ControlCall::StoreDrained { id, epoch } => {
@@ -43,3 +46,21 @@
     let referral = member.replicated_view.read(|view| view.referral_for(request));
     referral.map_or(ControlReply::NoQuorum, |referral| ControlReply::Update(Box::new(referral)))
 }
+
+/// Answers once the directory is known to be as new as the call. The members are asked at once, and the reply
+/// does not wait for their next regular exchange.
+async fn read_latest(member: &Member, request: &WatchRequest) -> ControlReply {
+    let called_at = Instant::now();
+    let deadline = called_at + Duration::from_millis(request.max_wait_ms);
+    member.wake_exchange();
+    loop {
+        let report_received = member.report_received.notified();
+        if member.is_up_to_date_since(called_at) {
+            let latest = member.replicated_view.read(|view| view.latest_for(request));
+            return latest.map_or(ControlReply::Done, |latest| ControlReply::Update(Box::new(latest)));
+        }
+        if tokio::time::timeout_at(deadline, report_received).await.is_err() {
+            return ControlReply::NoQuorum;
+        }
+    }
+}
--- a/tier/control/tests/golden_calls.rs
+++ b/tier/control/tests/golden_calls.rs
@@ -174,6 +174,22 @@
     check("control_calls.txt", &calls);
 }
 
+#[test]
+fn read_latest_calls() {
+    let known = WatchRequest {
+        directory_revision: 11,
+        configuration_version: 7,
+        members_epoch: Some(5),
+        max_wait_ms: 500,
+        ..WatchRequest::default()
+    };
+    let calls = [
+        ("read with a known directory", ControlCall::ReadLatest(known)),
+        ("read with defaults", ControlCall::ReadLatest(WatchRequest::default())),
+    ];
+    check("read_latest_calls.txt", &calls);
+}
+
 #[test]
 fn control_replies() {
     let news = WatchUpdate {
--- a/tier/control/tests/quorum_contact.rs
+++ b/tier/control/tests/quorum_contact.rs
@@ -54,6 +54,31 @@
     assert!(!contact.has_fresh_quorum(state, asked_at + FRESHNESS_PERIOD));
 }
 
+/// A fresh quorum may have been asked before a change that a reader has to see.
+#[test]
+fn a_read_needs_a_quorum_that_was_asked_since_the_read() {
+    let group = group_of_three();
+    let read_at = Instant::now();
+    let state = local(&group, Some(ballot(1)));
+    let mut contact = QuorumContact::default();
+    contact.record_report(member(2), report(read_at - MILLISECOND, Some(ballot(1)), &group));
+    assert!(contact.has_fresh_quorum(state, read_at));
+    assert!(!contact.is_up_to_date_since(state, read_at, read_at));
+    contact.record_report(member(3), report(read_at, Some(ballot(1)), &group));
+    assert!(contact.is_up_to_date_since(state, read_at, read_at + MILLISECOND));
+}
+
+#[test]
+fn a_read_waits_for_a_newer_value_that_a_peer_has_accepted() {
+    let group = group_of_three();
+    let read_at = Instant::now();
+    let mut contact = QuorumContact::default();
+    contact.record_report(member(2), report(read_at, Some(ballot(2)), &group));
+    contact.record_report(member(3), report(read_at, Some(ballot(2)), &group));
+    assert!(!contact.is_up_to_date_since(local(&group, Some(ballot(1))), read_at, read_at));
+    assert!(contact.is_up_to_date_since(local(&group, Some(ballot(2))), read_at, read_at));
+}
+
 #[test]
 fn a_member_that_knows_no_committed_value_has_no_fresh_quorum() {
     let group = group_of_three();
--- a/tier/instances/src/view.rs
+++ b/tier/instances/src/view.rs
@@ -150,6 +150,23 @@
         !self.members.is_empty() && request.members_epoch < Some(self.members_epoch)
     }
 
+    /// The directory and the members, where one of them is new to the caller; `None` where neither is.
+    /// Instances are left to watches, and the caller's position in them stays.
+    pub fn latest_for(&self, request: &WatchRequest) -> Option<WatchUpdate> {
+        let directory_is_new = self.directory.revision > request.directory_revision;
+        if !directory_is_new && !self.has_newer_members(request) {
+            return None;
+        }
+        Some(WatchUpdate {
+            directory: directory_is_new.then(|| self.directory_for(request)),
+            members: self.members.clone(),
+            members_epoch: self.members_epoch,
+            source: request.source,
+            instances_revision: request.instances_revision,
+            instances: Vec::new(),
+        })
+    }
+
     /// The members alone, for a watch that knows none or older ones; `None` where it knows these. The position
     /// stays at the beginning: none of this process's instances were sent.
     pub fn referral_for(&self, request: &WatchRequest) -> Option<WatchUpdate> {
--- a/tier/protocol/src/messages.rs
+++ b/tier/protocol/src/messages.rs
@@ -59,6 +59,10 @@
     /// Answered with what is new, at once or as soon as something is.
     #[serde(rename = "Follow")]
     Watch(WatchRequest),
+    /// Answered with what is new of the directory and the members, or [`ControlReply::Done`], once that is
+    /// known to be as new as the call; [`ControlReply::NoQuorum`] where it can't be known in the longest wait.
+    /// Processes of earlier versions close the connection.
+    ReadLatest(WatchRequest),
     /// A store registers itself as active.
     #[serde(rename = "AnnounceStore")]
     RegisterStore(StoreEntry),
--- a/tier/proxy/src/proxy.rs
+++ b/tier/proxy/src/proxy.rs
@@ -8,7 +8,7 @@
 use pointcross_tier_routing::{AdmittedPrograms, RouteTable, Servers};
 use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::notify::ChangeNotifier;
-use pointcross_tier_runtime::watch::ReplicatedView;
+use pointcross_tier_runtime::watch::{LatestReader, ReplicatedView};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use tokio::sync::Notify;
@@ -37,6 +37,8 @@
     pub queues: Rc<Queues>,
     /// The stores.
     pub stores: Stores,
+    /// Reads the latest directory, before something is concluded from what the view does not have.
+    pub latest: Rc<LatestReader>,
     /// Turns that were stored or read lately.
     pub chains: RefCell<ChainCache>,
     /// Set from SIGTERM on.
@@ -61,6 +63,7 @@
             programs: RefCell::default(),
             pool: ConnectionPool::new(environment),
             queues: Rc::default(),
+            latest: LatestReader::through_agent(environment, view.clone(), settings.feed_address()),
             stores: Stores::new(environment, view, &settings),
             chains: RefCell::new(ChainCache::new(cache_bytes)),
             draining: Cell::new(false),
--- a/tier/proxy/src/turns/fetch.rs
+++ b/tier/proxy/src/turns/fetch.rs
@@ -3,9 +3,9 @@
 use super::call::{RETRY_DELAY, StoreResponse, spawn_fetch, wait_until};
 use crate::proxy::Proxy;
 use bytes::{Bytes, BytesMut};
-use pointcross_tier_protocol::StoreEntry;
 use pointcross_tier_protocol::messages::StoreReply;
 use pointcross_tier_protocol::turns::TurnRecord;
+use pointcross_tier_protocol::{Directory, StoreEntry};
 use pointcross_tier_runtime::fault_injection::{InjectedFault, is_injected};
 use pointcross_tier_sessions::placement;
 use snafu::Snafu;
@@ -47,7 +47,7 @@
 /// Why a chain can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum ChainError {
-    /// No such turn exists: every store that could have it says so. Never said of a turn that a stored one
+    /// No such turn exists: every store that could have it says so, and there were no others. Never said of a turn that a stored one
     /// continues from: that one was stored.
     #[snafu(display("there is no such turn"))]
     TurnNotFound,
@@ -77,6 +77,7 @@
     program: &str,
     deadline: Instant,
 ) -> Result<Chain, ChainError> {
+    let asked_at = Instant::now();
     let mut records: Vec<TurnRecord> = Vec::new();
     let mut next = Some(newest.to_owned());
     while let Some(id) = next {
@@ -84,7 +85,8 @@
         let found = match cached {
             Some(record) => vec![record],
             None => {
-                let fetched = fetch_with_retries(proxy, &id, program, deadline).await;
+                let query = TurnQuery { id: &id, program, asked_at, deadline };
+                let fetched = fetch_with_retries(proxy, query).await;
                 fetched.map_err(|error| if records.is_empty() { error } else { ChainError::Undetermined })?
             }
         };
@@ -102,16 +104,21 @@
     Ok(Chain { turns: records, placement })
 }
 
-/// Passes over the stores until the result is certain or the deadline near.
-async fn fetch_with_retries(
-    proxy: &Rc<Proxy>,
-    id: &str,
-    program: &str,
+/// A turn that is looked for.
+#[derive(Clone, Copy)]
+struct TurnQuery<'a> {
+    id: &'a str,
+    program: &'a str,
+    /// When the request for it was there: a turn that was stored before then has to be found.
+    asked_at: Instant,
     deadline: Instant,
-) -> Result<Vec<TurnRecord>, ChainError> {
+}
+
+/// Passes over the stores until the result is certain or the deadline near.
+async fn fetch_with_retries(proxy: &Rc<Proxy>, query: TurnQuery<'_>) -> Result<Vec<TurnRecord>, ChainError> {
     loop {
-        match fetch_once(proxy, id, program, deadline).await {
-            Err(ChainError::Undetermined) if Instant::now() + RETRY_DELAY < deadline => {
+        match fetch_once(proxy, query).await {
+            Err(ChainError::Undetermined) if Instant::now() + RETRY_DELAY < query.deadline => {
                 tokio::time::sleep(RETRY_DELAY).await;
             }
             result => return result,
@@ -120,28 +127,36 @@
 }
 
 /// One pass over the stores, and what it proves.
-async fn fetch_once(
-    proxy: &Rc<Proxy>,
-    id: &str,
-    program: &str,
-    deadline: Instant,
-) -> Result<Vec<TurnRecord>, ChainError> {
+async fn fetch_once(proxy: &Rc<Proxy>, query: TurnQuery<'_>) -> Result<Vec<TurnRecord>, ChainError> {
     let directory = proxy.stores.directory();
-    let ranked = placement::rank_for_turns(program, &proxy.stores.zone, directory.readable_stores());
+    let ranked = placement::rank_for_turns(query.program, &proxy.stores.zone, directory.readable_stores());
     let mut stores: Vec<StoreEntry> = ranked.into_iter().cloned().collect();
     proxy.stores.sort_unresponsive_last(&mut stores);
-    let is_absent = match call_each_store(proxy, stores, id, deadline).await {
+    let is_absent = match call_each_store(proxy, stores, query.id, query.deadline).await {
         PassResult::Found(chain) => return Ok(chain),
-        PassResult::CertainlyAbsent => true,
+        PassResult::CertainlyAbsent => has_no_unreadable_stores(proxy, &directory),
         PassResult::Undetermined => false,
     };
-    // An empty directory proves nothing, and a turn may be on stores that can't be read now.
+    let is_certain = is_absent && was_current(proxy, &directory, query).await;
+    Err(if is_certain { ChainError::TurnNotFound } else { ChainError::Undetermined })
+}
+
+/// Whether no turn may be on stores that can't be read now. An empty directory proves nothing.
+fn has_no_unreadable_stores(proxy: &Proxy, directory: &Directory) -> bool {
     let lists_stores = directory.active_stores().next().is_some();
     let route_table = proxy.route_table.borrow();
     let retention = route_table.as_ref().map_or(Duration::MAX, |table| table.longest_retention());
-    let is_certain =
-        is_absent && lists_stores && !proxy.stores.may_have_unreadable_turns(&directory, retention);
-    Err(if is_certain { ChainError::TurnNotFound } else { ChainError::Undetermined })
+    lists_stores && !proxy.stores.may_have_unreadable_turns(directory, retention)
+}
+
+/// Whether a directory was the current one when the turn was asked for, so that all stores which the turn may
+/// have been stored on were asked. A process that stood still or is cut off can't tell by itself.
+async fn was_current(proxy: &Proxy, directory: &Directory, query: TurnQuery<'_>) -> bool {
+    if is_injected(InjectedFault::DenyByOldDirectory) {
+        return true;
+    }
+    let is_latest = proxy.latest.read_since(query.asked_at, query.deadline).await;
+    is_latest && proxy.stores.directory().revision == directory.revision
 }
 
 /// Calls each store once: the next one as soon as one replies that it doesn't have the turn, fails, or is
--- a/tier/runtime/src/fault_injection.rs
+++ b/tier/runtime/src/fault_injection.rs
@@ -42,11 +42,13 @@
     PassOverFailedSync,
     /// A reply is given to the oldest pending call, whatever its call number.
     MatchRepliesByOrder,
+    /// A turn is denied by the stores of a directory that may be old.
+    DenyByOldDirectory,
 }
 
 impl InjectedFault {
     /// All faults.
-    pub const ALL: [InjectedFault; 17] = [
+    pub const ALL: [InjectedFault; 18] = [
         InjectedFault::VoteWithoutDisk,
         InjectedFault::VoteUnderOldName,
         InjectedFault::TakeAnyBase,
@@ -64,6 +66,7 @@
         InjectedFault::CountLeavingStores,
         InjectedFault::PassOverFailedSync,
         InjectedFault::MatchRepliesByOrder,
+        InjectedFault::DenyByOldDirectory,
     ];
 
     /// The fault whose variant has this name.
--- a/tier/runtime/src/watch/members.rs
+++ b/tier/runtime/src/watch/members.rs
@@ -19,7 +19,7 @@
 /// Watches the control members, two of them at a time, so that a change arrives although one of them stops
 /// answering. Never returns.
 pub async fn watch_control_members(environment: Environment, shared: Rc<ReplicatedView>, seeds: Seeds) {
-    let chooser = MemberChooser { shared: shared.clone(), seeds, watched: Rc::default() };
+    let chooser = MemberChooser::new(shared.clone(), seeds);
     let first = watch(environment.clone(), shared.clone(), chooser.clone().for_watch(0));
     let second = watch(environment, shared, chooser.for_watch(1));
     tokio::join!(first, second);
@@ -27,7 +27,7 @@
 
 /// Chooses the members that the two watches are at.
 #[derive(Clone)]
-struct MemberChooser {
+pub(super) struct MemberChooser {
     shared: Rc<ReplicatedView>,
     seeds: Seeds,
     /// The member that each watch chose last, by the watch's index.
@@ -35,13 +35,18 @@
 }
 
 impl MemberChooser {
+    /// None of the members is chosen yet.
+    pub(super) fn new(shared: Rc<ReplicatedView>, seeds: Seeds) -> Self {
+        MemberChooser { shared, seeds, watched: Rc::default() }
+    }
+
     fn for_watch(self, index: usize) -> impl FnMut() -> Option<SocketAddrV4> {
         move || self.choose(index)
     }
 
     /// A random member: where there is a choice neither the one that the other watch is at, nor the one that
     /// this watch has just left.
-    fn choose(&self, index: usize) -> Option<SocketAddrV4> {
+    pub(super) fn choose(&self, index: usize) -> Option<SocketAddrV4> {
         let mut candidates = self.candidates();
         let other = self.watched.borrow().iter().find(|(at, _)| **at != index).map(|(_, address)| *address);
         let last = self.watched.borrow().get(&index).copied();
--- a/tier/runtime/src/watch/mod.rs
+++ b/tier/runtime/src/watch/mod.rs
@@ -5,12 +5,17 @@
 //! off: [`watch_control_members`] watches two members at a time, and chooses another member after each
 //! failure.
 //!
+//! A watch can't tell that a view is current: [`LatestReader`] reads what is, before something is concluded from
+//! what the view does not have.
+//!
 //! The watches never return; who spawned one ends it by aborting its task or with the process's runtime.
 
 mod client;
+mod latest;
 mod members;
 mod view;
 
 pub use client::watch_agent;
+pub use latest::LatestReader;
 pub use members::{Seeds, watch_control_members};
 pub use view::ReplicatedView;
--- a/tier/simulation/src/cluster.rs
+++ b/tier/simulation/src/cluster.rs
@@ -346,6 +346,16 @@
         self.timeline.note(name, if both { "is cut off" } else { "is not heard" });
     }
 
+    /// Cuts a machine off from each of these, both ways.
+    pub fn cut_pairs(&mut self, name: &str, others: &[&str]) {
+        let host = self.machines[name].host;
+        for other in others.iter().map(|other| self.machines[*other].host) {
+            self.world.cut(host, other);
+            self.world.cut(other, host);
+        }
+        self.timeline.note(name, format!("is cut off from {others:?}"));
+    }
+
     /// Cuts these machines off from all others that keep state; clients, proxies and operators reach both halves.
     pub fn cut_halves(&mut self, half: &[String]) {
         let (inside, outside): (Vec<&String>, Vec<&String>) = self
