Carry out a Deregister of an instance that the control process does not know

Cause: a control process that did not know the instance answered 200 and kept nothing. Processes outside the group don't know it, nor does any member just after the whole core was killed. It now writes a tombstone of the id alone and answers once a majority has it.

--- a/tier/control/src/heartbeats.rs
+++ b/tier/control/src/heartbeats.rs
@@ -31,14 +31,14 @@
         Ok(heartbeat) => heartbeat,
         Err(error) => return Reply::bad_request(format!("heartbeat of {id}: {error}")),
     };
-    if !member.is_member() {
-        return Reply::unavailable(NOT_A_MEMBER);
-    }
     if !has_room_for(member, id) {
         return Reply::unavailable("too many instances");
     }
     let instance = heartbeat.instance(id.to_owned());
     let is_final = instance.state >= InstanceState::Draining;
+    if !is_final && !member.is_member() {
+        return Reply::unavailable(NOT_A_MEMBER);
+    }
     if is_final && is_injected(InjectedFault::DrainingToldToNobody) {
         return Reply::json("{}");
     }
@@ -70,13 +70,17 @@
 }
 
 /// Terminates an instance at its own request. Acknowledged once a majority of the members has it.
+///
+/// One that this process does not know gets a tombstone too: others know it, as do proxies, where this process
+/// is no member or has just started.
 pub async fn deregister(member: &Rc<Member>, id: &str) -> Reply {
     let known = member.replicated_view.read(|view| view.instances().get(id).cloned());
-    let terminated = known.map(|instance| Instance { state: InstanceState::Terminated, ..instance });
-    if member.tombstones.persist(terminated.iter()).await.is_err() {
+    let known = known.unwrap_or_else(|| Instance::tombstone(id.to_owned()));
+    let terminated = Instance { state: InstanceState::Terminated, ..known };
+    if member.tombstones.persist(std::iter::once(&terminated)).await.is_err() {
         return Reply::unavailable(TOMBSTONE_NOT_WRITTEN);
     }
-    if member.replicated_view.change(|view| view.instances_mut().deregister(id)) {
+    if member.replicated_view.change(|view| view.instances_mut().merge(terminated)) {
         info!("instance deregistered: instance={id}");
         member.wake_exchange();
     }
--- a/tier/protocol/src/instance.rs
+++ b/tier/protocol/src/instance.rs
@@ -1,7 +1,7 @@
 //! Instances: model schedulers and other servers, as they register themselves by heartbeats.
 
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// The state of an instance. Only the instance itself ends itself: one that is draining or terminated never
 /// gets ready again, as a new start has a new id. Missing heartbeats are a suspicion, which the next heartbeat
@@ -47,6 +47,21 @@
     pub call_seq: u64,
 }
 
+impl Instance {
+    /// The tombstone of an instance of which only the id is known.
+    pub fn tombstone(id: String) -> Self {
+        Instance {
+            id,
+            service: String::new(),
+            address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+            zone: String::new(),
+            capacity: 1,
+            state: InstanceState::Terminated,
+            call_seq: 0,
+        }
+    }
+}
+
 /// An instance as it is sent and stored. Processes of earlier versions know four states and skip the field
 /// `expired`: to them such an instance is unresponsive.
 #[derive(Serialize, Deserialize)]
--- a/tier/simulation/tests/non_members.rs
+++ b/tier/simulation/tests/non_members.rs
@@ -107,3 +107,43 @@
         assert_eq!(late, 0, "nothing reaches it after DrainMs");
     });
 }
+
+/// Requests that an instance ran later than DrainMs after this moment, while two turns are taken each 0.1 s.
+async fn runs_after_drain(cluster: &Cluster, leaving: &Engine, acknowledged: tokio::time::Instant) -> usize {
+    for _ in 0..40 {
+        assert_eq!(first_turns(cluster, &["front-1", "front-2"]).await, [200, 200]);
+        cluster.pass(Duration::from_millis(100)).await;
+    }
+    let drained = acknowledged + Duration::from_secs(2);
+    leaving.ran().iter().filter(|ran| ran.at > drained).count()
+}
+
+/// An instance that leaves without a word before calls an added machine that is no member.
+#[test]
+fn a_deregister_at_an_added_machine_is_not_lost() {
+    run(64, async {
+        let (mut cluster, engines) = serving().await;
+        cluster.add("core", 4, false);
+        cluster.pass(Duration::from_secs(6)).await;
+        engines[0].call_control(["core-4", "core-1"].map(|name| cluster.control_address(name)).to_vec());
+        engines[0].deregister().await;
+        let late = runs_after_drain(&cluster, &engines[0], tokio::time::Instant::now()).await;
+        assert_eq!(late, 0, "nothing reaches it after DrainMs");
+    });
+}
+
+/// All members are killed at once, which leaves them without any instance. The first call of one is that it is gone.
+#[test]
+fn a_deregister_at_members_that_have_just_started_is_not_lost() {
+    run(65, async {
+        let (mut cluster, engines) = serving().await;
+        engines[0].stop_heartbeats();
+        for member in ["core-1", "core-2", "core-3"] {
+            cluster.kill(member);
+            cluster.restart(member);
+        }
+        engines[0].deregister().await;
+        let late = runs_after_drain(&cluster, &engines[0], tokio::time::Instant::now()).await;
+        assert_eq!(late, 0, "nothing reaches it after DrainMs");
+    });
+}
