Let instances that have ended make room for new ones

Cause: the table's 16,384 places count instances that have ended. The oldest of these are evicted by an insertion beyond the bound only, and an unknown instance was turned away before that. There is room now where a terminated or expired instance can be evicted.

Tests: ended_instances_make_room_for_new_ones failed before. Golden files of the table are as before.

--- a/tier/instances/src/table.rs
+++ b/tier/instances/src/table.rs
@@ -109,9 +109,10 @@
         }
     }
 
-    /// Whether an unknown instance can be added without evicting one.
+    /// Whether an unknown instance can be added without evicting one that may take requests.
     pub fn has_capacity(&self) -> bool {
         self.entries.len() < MAX_INSTANCES
+            || self.entries.values().any(|entry| has_ended(entry.instance.state))
     }
 
     /// The instance with this id, if it is known.
--- a/tier/instances/tests/merge.rs
+++ b/tier/instances/tests/merge.rs
@@ -1,6 +1,6 @@
 //! Instances merge in any order, and one that drains never takes requests again; views never go back.
 
-use pointcross_tier_instances::{ClusterView, InstanceTable, WatchPosition};
+use pointcross_tier_instances::{ClusterView, InstanceTable, MAX_INSTANCES, WatchPosition};
 use pointcross_tier_protocol::{Directory, Instance, InstanceState};
 use proptest::prelude::*;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -46,6 +46,35 @@
     assert!(table.merge(instance(InstanceState::Ready, 2)));
 }
 
+/// A table of as many instances as it may have, all in this state.
+fn full_table(state: InstanceState) -> InstanceTable {
+    let mut table = InstanceTable::default();
+    for number in 0..MAX_INSTANCES {
+        table.merge(Instance { id: format!("i-{number}"), ..instance(state, 1) });
+    }
+    table
+}
+
+/// Many starts of servers in turn: those that have ended make room for a new one, the oldest first.
+#[test]
+fn ended_instances_make_room_for_new_ones() {
+    for ended in [InstanceState::Terminated, InstanceState::Expired] {
+        let mut table = full_table(ended);
+        assert!(table.has_capacity());
+        assert!(table.merge(instance(InstanceState::Ready, 1)));
+        assert!(table.get("i").is_some());
+        assert!(table.get("i-0").is_none());
+        assert_eq!(table.all().count(), MAX_INSTANCES);
+    }
+}
+
+#[test]
+fn live_instances_make_no_room() {
+    for live in [InstanceState::Ready, InstanceState::Unresponsive, InstanceState::Draining] {
+        assert!(!full_table(live).has_capacity());
+    }
+}
+
 #[test]
 fn a_watch_of_a_new_source_gets_everything_and_loses_nothing() {
     let mut source = ClusterView::new(7);
