Reset an idle connection where a request crosses its close

Unread bytes make the system reset the connection, which is the client's only proof that a request never ran. The reading guards an answer that is still on its way; an idle connection has none. One that answered nothing since it was told to end, or stood idle for too long, is now closed with nothing read.

Tests: two in daemon/tests/http.rs force the crossing, at a stop and at the idle time-out; both failed before.

--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -358,6 +358,9 @@
         // This side's sending has ended with what hyper held. The client reads the last answer, then ends
         // too.
         Close::AfterLastAnswer => incoming.wait_for_close().await,
+        // A request that crosses this close stays unread, so that the system resets the connection: to the
+        // client that is the proof that it never ran.
+        Close::Idle => {}
         Close::Immediate => incoming.drain(),
         Close::Disconnected => {}
     }
@@ -367,12 +370,28 @@
 enum Close {
     /// Its last answer may still be on its way.
     AfterLastAnswer,
+    /// It stood idle as it was told to end, or for too long: whatever it was asked before has been answered.
+    Idle,
     /// Nothing was under way on it, and its place is needed or it never asked.
     Immediate,
     /// Its client has left.
     Disconnected,
 }
 
+/// How to close a connection that hyper has ended. `was_idle`: it was told to end, and answered nothing since.
+fn end_of_serving(ended: hyper::Result<()>, was_idle: bool) -> Close {
+    let Err(error) = ended else {
+        return if was_idle { Close::Idle } else { Close::AfterLastAnswer };
+    };
+    tracing::debug!(%error, "client connection failed");
+    match error {
+        error if error.is_incomplete_message() => Close::Disconnected,
+        // No whole head for [`IDLE_TIMEOUT`].
+        error if error.is_timeout() => Close::Idle,
+        _ => Close::AfterLastAnswer,
+    }
+}
+
 async fn serve_connection(
     stream: ClientStream,
     incoming: &Incoming,
@@ -390,18 +409,15 @@
     let first = tokio::time::sleep(FIRST_REQUEST_TIMEOUT);
     tokio::pin!(serving, first);
     let (mut came, mut stopping) = (false, false);
+    // The writes made as the connection was told to end, where it was told so from outside.
+    let mut writes_at_stop = None;
     loop {
         // The connection itself comes first: what has been read by now counts.
         tokio::select! {
             biased;
             ended = &mut serving => {
-                return match ended {
-                    Ok(()) => Close::AfterLastAnswer,
-                    Err(error) => {
-                        tracing::debug!(%error, "client connection failed");
-                        if error.is_incomplete_message() { Close::Disconnected } else { Close::AfterLastAnswer }
-                    }
-                };
+                let was_idle = writes_at_stop == Some(wire.writes());
+                return end_of_serving(ended, was_idle);
             }
             // Guards against work for a client that has left: hyper does not see it behind bytes it cannot
             // use yet.
@@ -423,12 +439,14 @@
             () = shutdown.reached(Phase::Draining), if !stopping => {
                 // Idle connections close now, the others with their answer.
                 stopping = true;
+                writes_at_stop = Some(wire.writes());
                 serving.as_mut().graceful_shutdown();
             }
             // Guards against clients kept on a scheduler that the staff sent them away from: the same close
             // as at a stop, but the program goes on and takes new connections again after the call back.
             () = service.wait_until_connections_may_close(), if !stopping => {
                 stopping = true;
+                writes_at_stop = Some(wire.writes());
                 serving.as_mut().graceful_shutdown();
             }
         }
--- a/daemon/tests/http.rs
+++ b/daemon/tests/http.rs
@@ -4,7 +4,10 @@
 use pointcross_test_support::*;
 use proptest::prelude::*;
 use proptest::test_runner::{RngAlgorithm, TestRng, TestRunner};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use std::io::ErrorKind;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt, BufReader, Interest};
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 #[tokio::test]
@@ -268,6 +271,46 @@
     running.wait_for_exit().await;
 }
 
+/// Waits until an idle connection is closed, sends a write that crosses the close, and asserts that it is reset.
+async fn cross_the_close(mut kept: BufReader<TcpStream>) {
+    assert_eq!(kept.read(&mut [0; 1]).await.unwrap(), 0, "the idle connection is closed");
+    kept.write_all(&request("reading-put", "standard", 8, 2, b"rain")).await.unwrap();
+    let socket = kept.get_ref();
+    let reset = tokio::time::timeout(Duration::from_secs(2), socket.ready(Interest::ERROR));
+    reset.await.expect("the connection is reset").unwrap();
+    assert_eq!(socket.take_error().unwrap().map(|error| error.kind()), Some(ErrorKind::BrokenPipe));
+}
+
+/// Guards against a write that is lost to its caller as a scheduler stops: a request that crosses the close of an idle
+/// connection is reset, which proves to the client that it never ran.
+#[tokio::test]
+async fn a_request_that_crosses_the_close_at_a_stop_is_reset() {
+    let (store, seen) = store(|_, _| ok("")).await;
+    let mut running = RunningDaemon::start(store, "").await;
+    let mut kept = connect(running.http).await;
+    let read = |id| request("reading-get", "standard", 8, id, b"");
+    assert_eq!(exchange(&mut kept, &read(1)).await.unwrap().status(), 200);
+    running.stop();
+    // Used once more meanwhile, so that the stop closes it and not the time for which it may stand idle.
+    tokio::time::sleep(2 * ACCEPT_GRACE).await;
+    assert_eq!(exchange(&mut kept, &read(3)).await.unwrap().status(), 200);
+    cross_the_close(kept).await;
+    running.wait_for_exit().await;
+    assert_eq!(seen.all().len(), 2, "the write has not run");
+}
+
+/// The same where the connection has stood idle for too long.
+#[tokio::test]
+async fn a_request_that_crosses_the_close_of_an_idle_connection_is_reset() {
+    let (store, seen) = store(|_, _| ok("")).await;
+    let running = RunningDaemon::start(store, "").await;
+    let mut kept = connect(running.http).await;
+    let read = request("reading-get", "standard", 8, 1, b"");
+    assert_eq!(exchange(&mut kept, &read).await.unwrap().status(), 200);
+    cross_the_close(kept).await;
+    assert_eq!(seen.all().len(), 1, "the write has not run");
+}
+
 /// A step of a client on its connection.
 #[derive(Clone, Copy, Debug)]
 enum Step {
--- a/platform-http/src/watched.rs
+++ b/platform-http/src/watched.rs
@@ -6,7 +6,7 @@
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 use tokio::sync::Notify;
 
@@ -14,6 +14,7 @@
 #[derive(Debug, Default)]
 pub struct Wire {
     unfinished: AtomicBool,
+    writes: AtomicU64,
     received: Notify,
 }
 
@@ -25,6 +26,16 @@
         self.unfinished.load(Ordering::Relaxed)
     }
 
+    /// Writes since the start: where the number stays, nothing was answered meanwhile.
+    pub fn writes(&self) -> u64 {
+        self.writes.load(Ordering::Relaxed)
+    }
+
+    fn begin_write(&self) {
+        self.unfinished.store(true, Ordering::Relaxed);
+        self.writes.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Ends when something has come since this was last awaited or what came was forgotten.
     pub async fn received(&self) {
         self.received.notified().await;
@@ -64,7 +75,7 @@
 
 impl<T: Write + Unpin> Write for Watched<T> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.wire.unfinished.store(true, Ordering::Relaxed);
+        self.wire.begin_write();
         Pin::new(&mut self.io).poll_write(cx, buf)
     }
 
@@ -73,7 +84,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.wire.unfinished.store(true, Ordering::Relaxed);
+        self.wire.begin_write();
         Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
     }
 
