--- a/tier/simulation/src/caller.rs
+++ b/tier/simulation/src/caller.rs
@@ -179,6 +179,13 @@
     pub stored: bool,
 }
 
+impl<'a> Turn<'a> {
+    /// The first turn of a program, with this id; it is kept, and has no budget.
+    pub fn first(id: &'a str, program: &'a str) -> Self {
+        Turn { id, program, previous: None, input: "said;", budget: None, max_tokens: 3, stored: true }
+    }
+}
+
 impl Turn<'_> {
     /// The request that takes it.
     pub fn request(&self) -> Request<Bytes> {
--- a/tier/simulation/tests/heartbeats.rs
+++ b/tier/simulation/tests/heartbeats.rs
@@ -23,16 +23,7 @@
     let mut statuses = Vec::new();
     for front in ["front-1", "front-2"] {
         let id = format!("{id}-{front}");
-        let turn = Turn {
-            id: &id,
-            program: &id,
-            previous: None,
-            input: "said;",
-            budget: None,
-            max_tokens: 3,
-            stored: true,
-        };
-        let reply = cluster.turn(front, &turn).await.expect("an answer");
+        let reply = cluster.turn(front, &Turn::first(&id, &id)).await.expect("an answer");
         statuses.push(reply.status.as_u16());
     }
     statuses
--- a/tier/simulation/tests/non_members.rs
+++ b/tier/simulation/tests/non_members.rs
@@ -25,16 +25,7 @@
     let mut statuses = Vec::new();
     for front in fronts {
         let id = format!("turn-at-{front}-{}", statuses.len());
-        let turn = Turn {
-            id: &id,
-            program: &id,
-            previous: None,
-            input: "first;",
-            budget: None,
-            max_tokens: 3,
-            stored: true,
-        };
-        let reply = cluster.turn(front, &turn).await.expect("an answer");
+        let reply = cluster.turn(front, &Turn::first(&id, &id)).await.expect("an answer");
         statuses.push(reply.status.as_u16());
     }
     statuses
--- a/tier/simulation/tests/old_directories.rs
+++ b/tier/simulation/tests/old_directories.rs
@@ -22,7 +22,7 @@
 
 /// Takes a turn at a proxy, and returns the status of the answer.
 async fn take(caller: Caller, front: &str, program: &str, previous: Option<&str>, id: &str) -> u16 {
-    let turn = Turn { id, program, previous, input: "said;", budget: None, max_tokens: 3, stored: true };
+    let turn = Turn { previous, ..Turn::first(id, program) };
     caller.turn(front, &turn).await.map_or(0, |reply| reply.status.as_u16())
 }
 
