Say in the failure detector's docs what expiry means, and keep comments to the line width

The docs of the control package's failure detector still called an expired instance terminated and new to all; since it is forgotten until its next heartbeat only. Comments only.

--- a/daemon/tests/http.rs
+++ b/daemon/tests/http.rs
@@ -271,7 +271,8 @@
     running.wait_for_exit().await;
 }
 
-/// Waits until an idle connection is closed, sends a write that crosses the close, and asserts that it is reset.
+/// Waits until an idle connection is closed, sends a write that crosses the close, and asserts that it is
+/// reset.
 async fn cross_the_close(mut kept: BufReader<TcpStream>) {
     assert_eq!(kept.read(&mut [0; 1]).await.unwrap(), 0, "the idle connection is closed");
     kept.write_all(&request("reading-put", "standard", 8, 2, b"rain")).await.unwrap();
@@ -281,8 +282,8 @@
     assert_eq!(socket.take_error().unwrap().map(|error| error.kind()), Some(ErrorKind::BrokenPipe));
 }
 
-/// Guards against a write that is lost to its caller as a scheduler stops: a request that crosses the close of an idle
-/// connection is reset, which proves to the client that it never ran.
+/// Guards against a write that is lost to its caller as a scheduler stops: a request that crosses the close
+/// of an idle connection is reset, which proves to the client that it never ran.
 #[tokio::test]
 async fn a_request_that_crosses_the_close_at_a_stop_is_reset() {
     let (store, seen) = store(|_, _| ok("")).await;
--- a/tier/control/src/failure_detector.rs
+++ b/tier/control/src/failure_detector.rs
@@ -11,8 +11,8 @@
 
 /// An instance is unresponsive after this many heartbeat intervals without one, in tenths.
 const UNRESPONSIVE_TENTHS: u32 = 35;
-/// It is removed after this many heartbeat intervals, in tenths; one that comes back later is a new instance
-/// to all.
+/// It is expired after this many heartbeat intervals, in tenths: no longer tracked, and forgotten by proxies
+/// until its next heartbeat.
 const EXPIRY_TENTHS: u32 = 500;
 /// The time between two checks.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -27,7 +27,7 @@
 pub struct HeartbeatTimeouts {
     /// Without a heartbeat for longer than this, an instance is unresponsive.
     pub unresponsive: Duration,
-    /// Without a heartbeat for longer than this, it is terminated.
+    /// Without a heartbeat for longer than this, it is expired.
     pub expiry: Duration,
 }
 
@@ -46,7 +46,7 @@
 pub struct TimedOutInstances {
     /// To be marked unresponsive; those in `expired` are among them.
     pub unresponsive: Vec<ExpiredInstance>,
-    /// To be terminated and tracked no longer.
+    /// To be marked expired and tracked no longer.
     pub expired: Vec<ExpiredInstance>,
 }
 
--- a/tier/control/src/heartbeats.rs
+++ b/tier/control/src/heartbeats.rs
@@ -24,8 +24,11 @@
 /// The reply where no majority has acknowledged in time.
 const NOT_REPLICATED: &str = "not known by a majority of the control members yet";
 
-/// Applies a heartbeat. A process that is no member takes none: it does not learn where an instance calls
-/// after that, and could not tell a silent instance from one that has moved on. One that says `draining` is acknowledged once a majority of the members has it.
+/// Applies a heartbeat. One that says `draining` is acknowledged once a majority of the members has it, whoever
+/// received it.
+///
+/// A process that is no member takes no others: it does not learn where an instance calls after that, and could
+/// not tell a silent instance from one that has moved on.
 pub async fn heartbeat(member: &Rc<Member>, id: &str, body: &[u8]) -> Reply {
     let heartbeat: Heartbeat = match serde_json::from_slice(body) {
         Ok(heartbeat) => heartbeat,
--- a/tier/control/tests/instance_liveness_model.rs
+++ b/tier/control/tests/instance_liveness_model.rs
@@ -1,8 +1,8 @@
-//! A small world of one instance and two members, walked whole: heartbeats come late, twice and out of order, members miss
-//! each other's reports for any time, and both are killed at once.
+//! A small world of one instance and two members, walked whole: heartbeats come late, twice and out of order,
+//! members miss each other's reports for any time, and both are killed at once.
 //!
-//! The decisions are the package's own ([`instance_liveness`], the tracker, the table). A heartbeat that never arrives is one
-//! that stays in flight, an exchange that is lost one that is not made.
+//! The decisions are the package's own ([`instance_liveness`], the tracker, the table). A heartbeat that
+//! never arrives is one that stays in flight, an exchange that is lost one that is not made.
 
 use pointcross_tier_control::failure_detector::HeartbeatTimeouts;
 use pointcross_tier_control::heartbeat_tracker::HeartbeatTracker;
@@ -28,7 +28,8 @@
 /// A deliberate fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Defect {
-    /// A late heartbeat is tracked, and an instance that has expired is terminated whatever is known of later calls.
+    /// A late heartbeat is tracked, and an instance that has expired is terminated whatever is known of later
+    /// calls.
     TerminateLate,
     /// A member that knows of a later call does not tell the one that suspects.
     KeepLaterCalls,
@@ -154,8 +155,8 @@
         }
     }
 
-    /// Whether both members take an instance for ready whose newest call is young enough, once each has checked and
-    /// they have exchanged all.
+    /// Whether both members take an instance for ready whose newest call is young enough, once each has
+    /// checked and they have exchanged all.
     fn is_ready_in_the_end(&self, state: &State) -> bool {
         let is_young = |newest: NewestCall| TICK * (state.ticks - newest.at_tick) <= TIMEOUTS.unresponsive;
         if !state.newest.is_some_and(is_young) {
--- a/tier/proxy/src/turns/fetch.rs
+++ b/tier/proxy/src/turns/fetch.rs
@@ -47,8 +47,8 @@
 /// Why a chain can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
 pub enum ChainError {
-    /// No such turn exists: every store that could have it says so, and there were no others. Never said of a turn that a stored one
-    /// continues from: that one was stored.
+    /// No such turn exists: every store that could have it says so, and there were no others. Never said of a
+    /// turn that a stored one continues from: that one was stored.
     #[snafu(display("there is no such turn"))]
     TurnNotFound,
     /// Some store that may have it did not reply before the deadline.
--- a/tier/simulation/src/engine.rs
+++ b/tier/simulation/src/engine.rs
@@ -213,8 +213,8 @@
         self.call_seq.get()
     }
 
-    /// Sends a heartbeat with this call number, as the network does that delivers one late or twice. Returns whether
-    /// it was acknowledged.
+    /// Sends a heartbeat with this call number, as the network does that delivers one late or twice. Returns
+    /// whether it was acknowledged.
     pub async fn send_heartbeat(&self, control: SocketAddrV4, call_seq: u64) -> bool {
         let body = format!(
             r#"{{"Service":"{}","Address":"{}","Zone":"zone-1","Version":"v1","Capacity":8,"State":"{}","ColdLeftMs":0,"CallSeq":{call_seq}}}"#,
--- a/tier/simulation/tests/golden.rs
+++ b/tier/simulation/tests/golden.rs
@@ -151,9 +151,9 @@
 const HEARTBEAT: &str =
     r#"{"Service":"other","Address":"10.4.0.99:8000","Zone":"z","State":"ready","CallSeq":1}"#;
 
-/// Steps in `control_members.txt` before the first Deregister of an instance that the member does not know. The program that
-/// was recorded there answered it at once and did nothing; this one writes a tombstone and waits for a majority. From there on
-/// the recorded steps come at other times, and are else the same.
+/// Steps in `control_members.txt` before the first Deregister of an instance that the member does not know.
+/// The program that was recorded there answered it at once and did nothing; this one writes a tombstone and
+/// waits for a majority. From there on the recorded steps come at other times, and are else the same.
 const STEPS_BEFORE_AN_UNKNOWN_ONE: usize = 38;
 
 #[test]
@@ -305,9 +305,9 @@
     .collect()
 }
 
-/// Steps in `proxies.txt` before the first turn that is denied. The program that was recorded there denied it by whatever
-/// directory the proxy had; this one reads the latest directory first, which takes 5 ms. From there on the recorded steps
-/// come at other times, and are else the same.
+/// Steps in `proxies.txt` before the first turn that is denied. The program that was recorded there denied it
+/// by whatever directory the proxy had; this one reads the latest directory first, which takes 5 ms. From
+/// there on the recorded steps come at other times, and are else the same.
 const STEPS_BEFORE_A_DENIAL: usize = 72;
 
 /// Steps without the times at which they were made, and at which servers ran requests.
--- a/tier/simulation/tests/golden_admin.rs
+++ b/tier/simulation/tests/golden_admin.rs
@@ -143,9 +143,10 @@
     text
 }
 
-/// The state of a retirement, asked right after its start. The Deregister of an unknown instance, some calls before, was
-/// answered at once by the program that was recorded in `control-calls.txt`; by this one it is written and replicated first.
-/// The state is asked some milliseconds later in the day, and met before the store has counted its turns. All other answers are the same.
+/// The state of a retirement, asked right after its start. The Deregister of an unknown instance, some calls
+/// before, was answered at once by the program that was recorded in `control-calls.txt`; by this one it is
+/// written and replicated first. The state is asked some milliseconds later in the day, and met before the
+/// store has counted its turns. All other answers are the same.
 const STATE_MET: &str = "answer: {\"State\":\"running\"}\n";
 const STATE_RECORDED: &str = "answer: {\"State\":\"completed\"}\n";
 
--- a/tier/simulation/tests/non_members.rs
+++ b/tier/simulation/tests/non_members.rs
@@ -1,4 +1,5 @@
-//! Control processes that are no members of the group: spare machines that were added, members that were replaced.
+//! Control processes that are no members of the group: spare machines that were added, members that were
+//! replaced.
 
 use pointcross_tier_simulation::{Cluster, Engine, SERVICE, Turn, run};
 use std::net::Ipv4Addr;
@@ -50,8 +51,8 @@
     });
 }
 
-/// A member stands still, and a spare machine takes its place. It goes on, and is a seed of proxies that restart, as is a
-/// machine that was added and never became a member.
+/// A member stands still, and a spare machine takes its place. It goes on, and is a seed of proxies that
+/// restart, as is a machine that was added and never became a member.
 async fn seeds_replaced() -> (Cluster, Vec<Engine>) {
     let (mut cluster, engines) = serving().await;
     cluster.freeze("core-1");
@@ -123,7 +124,8 @@
     });
 }
 
-/// All members are killed at once, which leaves them without any instance. The first call of one is that it is gone.
+/// All members are killed at once, which leaves them without any instance. The first call of one is that it
+/// is gone.
 #[test]
 fn a_deregister_at_members_that_have_just_started_is_not_lost() {
     run(65, async {
--- a/tier/simulation/tests/old_directories.rs
+++ b/tier/simulation/tests/old_directories.rs
@@ -63,8 +63,8 @@
     statuses.iter().filter(|status| **status == wanted).count()
 }
 
-/// Next turns wait in the sockets of a proxy that stands still while stores are added. As it goes on, it answers them before
-/// its watches have brought the added stores.
+/// Next turns wait in the sockets of a proxy that stands still while stores are added. As it goes on, it
+/// answers them before its watches have brought the added stores.
 fn answers_of_a_proxy_that_stood_still() -> Vec<u16> {
     run(71, async {
         let (mut cluster, _engine) = serving().await;
