--- a/tier/control/src/heartbeats.rs
+++ b/tier/control/src/heartbeats.rs
@@ -78,6 +78,9 @@
 /// is no member or has just started.
 pub async fn deregister(member: &Rc<Member>, id: &str) -> Reply {
     let known = member.replicated_view.read(|view| view.instances().get(id).cloned());
+    if known.is_none() && is_injected(InjectedFault::ForgetUnknownDeregister) {
+        return Reply::json("{}");
+    }
     let known = known.unwrap_or_else(|| Instance::tombstone(id.to_owned()));
     let terminated = Instance { state: InstanceState::Terminated, ..known };
     if member.tombstones.persist(std::iter::once(&terminated)).await.is_err() {
--- a/tier/control/src/instance_liveness.rs
+++ b/tier/control/src/instance_liveness.rs
@@ -13,6 +13,7 @@
 use crate::heartbeat_tracker::{ExpiredInstance, HeartbeatTracker};
 use pointcross_tier_instances::InstanceTable;
 use pointcross_tier_protocol::{Instance, InstanceState};
+use pointcross_tier_runtime::fault_injection::{InjectedFault, is_injected};
 use tokio::time::Instant;
 
 /// Applies a heartbeat that this member received. Returns whether that changed what others have to learn.
@@ -27,7 +28,8 @@
 ) -> bool {
     let id = reported.id.clone();
     let is_late = table.get(&id).is_some_and(|known| reported.call_seq < known.call_seq);
-    let is_new_here = !is_late && tracker.record(&id, reported.call_seq, now);
+    let is_tracked = !is_late || is_injected(InjectedFault::EndByMissingHeartbeats);
+    let is_new_here = is_tracked && tracker.record(&id, reported.call_seq, now);
     // The member that tracked the instance before has to learn of its later call here.
     table.merge(reported) || (is_new_here && table.mark_changed(&id))
 }
@@ -37,7 +39,8 @@
     tracker.observe_peer(&reported);
     let id = reported.id.clone();
     let is_refuted = reported.state.is_suspicion()
-        && table.get(&id).is_some_and(|known| known.call_seq > reported.call_seq);
+        && table.get(&id).is_some_and(|known| known.call_seq > reported.call_seq)
+        && !is_injected(InjectedFault::EndByMissingHeartbeats);
     table.merge(reported) || (is_refuted && table.mark_changed(&id))
 }
 
@@ -63,6 +66,7 @@
 /// A draining instance never takes requests again, so that it may be forgotten for good.
 fn expired_state(table: &InstanceTable, id: &str) -> InstanceState {
     match table.get(id).map(|known| known.state) {
+        _ if is_injected(InjectedFault::EndByMissingHeartbeats) => InstanceState::Terminated,
         Some(InstanceState::Draining) => InstanceState::Terminated,
         _ => InstanceState::Expired,
     }
@@ -71,7 +75,8 @@
 /// Puts an instance into this state, unless a later call than the one that was tracked is known. Returns the
 /// instance where that changed it.
 fn suspect(table: &mut InstanceTable, tracked: &ExpiredInstance, state: InstanceState) -> Option<Instance> {
-    let known = table.get(&tracked.id).filter(|known| known.call_seq <= tracked.call_seq)?;
+    let is_ended = state == InstanceState::Terminated && is_injected(InjectedFault::EndByMissingHeartbeats);
+    let known = table.get(&tracked.id).filter(|known| is_ended || known.call_seq <= tracked.call_seq)?;
     let suspected = Instance { state, ..known.clone() };
     table.merge(suspected.clone()).then_some(suspected)
 }
--- a/tier/control/src/watch_service.rs
+++ b/tier/control/src/watch_service.rs
@@ -10,6 +10,7 @@
 use crate::member::Member;
 use crate::store_registry;
 use pointcross_tier_protocol::messages::{ControlCall, ControlReply, WatchRequest};
+use pointcross_tier_runtime::fault_injection::{InjectedFault, is_injected};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -33,14 +34,19 @@
     if !member.has_fresh_quorum() {
         return ControlReply::NoQuorum;
     }
-    if !member.is_member() {
+    if !knows_all_instances(member) {
         return refer_to_members(member, request);
     }
     let reply = member.replicated_view.answer(request).await;
-    let is_fresh = member.is_member() && member.has_fresh_quorum();
+    let is_fresh = knows_all_instances(member) && member.has_fresh_quorum();
     if is_fresh { reply } else { ControlReply::NoQuorum }
 }
 
+/// Whether this process is told of all instances: members are.
+fn knows_all_instances(member: &Member) -> bool {
+    member.is_member() || is_injected(InjectedFault::AnswerWatchesAsNonMember)
+}
+
 /// Sends the members where the watcher does not know them yet; `NoQuorum` makes it choose one of them.
 fn refer_to_members(member: &Member, request: &WatchRequest) -> ControlReply {
     let referral = member.replicated_view.read(|view| view.referral_for(request));
--- a/tier/runtime/src/fault_injection.rs
+++ b/tier/runtime/src/fault_injection.rs
@@ -44,11 +44,17 @@
     MatchRepliesByOrder,
     /// A turn is denied by the stores of a directory that may be old.
     DenyByOldDirectory,
+    /// Watches are answered from memory by control processes that are no members too.
+    AnswerWatchesAsNonMember,
+    /// Missing heartbeats end an instance for good, at whichever member received one of it, late ones too.
+    EndByMissingHeartbeats,
+    /// A Deregister of an instance that the control process does not know is acknowledged without effect.
+    ForgetUnknownDeregister,
 }
 
 impl InjectedFault {
     /// All faults.
-    pub const ALL: [InjectedFault; 18] = [
+    pub const ALL: [InjectedFault; 21] = [
         InjectedFault::VoteWithoutDisk,
         InjectedFault::VoteUnderOldName,
         InjectedFault::TakeAnyBase,
@@ -67,6 +73,9 @@
         InjectedFault::PassOverFailedSync,
         InjectedFault::MatchRepliesByOrder,
         InjectedFault::DenyByOldDirectory,
+        InjectedFault::AnswerWatchesAsNonMember,
+        InjectedFault::EndByMissingHeartbeats,
+        InjectedFault::ForgetUnknownDeregister,
     ];
 
     /// The fault whose variant has this name.
--- a/tier/simulation/src/bin/simulate-tier.rs
+++ b/tier/simulation/src/bin/simulate-tier.rs
@@ -25,7 +25,7 @@
     options.optopt(
         "",
         "days",
-        "mixed, or long-chains: chains outlast their turns' retention (mixed)",
+        "mixed; long-chains: chains outlast their turns' retention; stale-state: processes go on with what they knew (mixed)",
         "SHAPE",
     );
     options.optflag("", "timeline", "prints what happened on each day");
@@ -54,8 +54,8 @@
     };
     let timeline = matches.opt_present("timeline");
     let shape = matches.opt_str("days").unwrap_or_else(|| "mixed".to_owned());
-    let shape =
-        DayShape::named(&shape).ok_or_else(|| format!("--days: {shape} is neither mixed nor long-chains"))?;
+    let shape = DayShape::named(&shape)
+        .ok_or_else(|| format!("--days: {shape} is none of mixed, long-chains, stale-state"))?;
     Ok(Some(Wanted { seeds: number("seeds", 100)?, from: number("from", 1)?, timeline, shape, defect }))
 }
 
--- a/tier/simulation/src/caller.rs
+++ b/tier/simulation/src/caller.rs
@@ -7,7 +7,8 @@
 use crate::timeline::Timeline;
 use bytes::Bytes;
 use http::Request;
-use pointcross_tier_protocol::messages::{ControlCall, ControlReply, WatchRequest};
+use pointcross_tier_protocol::Instance;
+use pointcross_tier_protocol::messages::{ControlCall, ControlReply, WatchRequest, WatchUpdate};
 use pointcross_tier_runtime::environment::Environment;
 use pointcross_tier_runtime::network::Network;
 use pointcross_tier_runtime::rpc::Peer;
@@ -135,11 +136,24 @@
     /// The number of the configuration that a member hands out to a follower that knows nothing; `None` where it
     /// hands out none.
     pub async fn served_version(&self, name: &str) -> Option<u64> {
+        let update = self.first_update(name).await?;
+        update.directory.map(|directory| directory.configuration_version)
+    }
+
+    /// The instances that a member hands out to a follower that knows nothing; `None` where it refers the follower to
+    /// other members, or to nobody.
+    pub async fn served_instances(&self, name: &str) -> Option<Vec<Instance>> {
+        let update = self.first_update(name).await?;
+        update.directory.is_some().then_some(update.instances)
+    }
+
+    /// The answer of a control machine to a follower that knows nothing.
+    async fn first_update(&self, name: &str) -> Option<WatchUpdate> {
         let address = SocketAddrV4::new(host_of(name), FOLLOW_PORT);
         let environment = Environment { network: self.network.clone(), ..Environment::system() };
         let call = ControlCall::Watch(WatchRequest::default());
-        match Peer::new(&environment, address).call::<ControlReply>(&call, FOLLOW_WITHIN).await {
-            Ok(ControlReply::Update(news)) => news.directory.map(|directory| directory.configuration_version),
+        match Peer::new(&environment, address).call(&call, FOLLOW_WITHIN).await {
+            Ok(ControlReply::Update(update)) => Some(*update),
             _ => None,
         }
     }
--- a/tier/simulation/src/chaos.rs
+++ b/tier/simulation/src/chaos.rs
@@ -6,6 +6,7 @@
 mod load;
 mod machines_leave;
 mod shape;
+mod stale_state;
 
 pub use ledger::{Invariant, Violation};
 pub use shape::DayShape;
@@ -127,6 +128,9 @@
     }
     plan.end_all(&mut cluster);
     load::check_recovery(&caller, &ledger, Instant::now() + RECOVER).await;
+    if shape.servers_call_any_control {
+        stale_state::check_servers_known(&caller, &ledger, plan.staying(&engines)).await;
+    }
     let violations = ledger.verdict();
     DayReport {
         seed,
--- a/tier/simulation/src/chaos/faults.rs
+++ b/tier/simulation/src/chaos/faults.rs
@@ -23,7 +23,8 @@
 const SLOW_DISK: Duration = Duration::from_millis(150);
 /// How long connections rest before a forgetful server resets them.
 const FORGETS_AFTER: Duration = Duration::from_millis(100);
-const FRONTS: [&str; 2] = ["front-1", "front-2"];
+/// The machines of the proxies.
+pub(super) const FRONTS: [&str; 2] = ["front-1", "front-2"];
 
 /// The faults of a day.
 pub struct FaultPlan {
@@ -33,8 +34,10 @@
     /// The machines that count, as they are now.
     pub(super) counted: Vec<String>,
     next_replacement: u8,
-    drained: usize,
+    /// So many of the servers have left, the first ones in order.
+    pub(super) drained: usize,
     reused: u8,
+    pub(super) released: u8,
 }
 
 pub(super) fn some_time(least_ms: u64, more_ms: u64) -> Duration {
@@ -55,6 +58,7 @@
             next_replacement: FIRST_REPLACEMENT,
             drained: 0,
             reused: 0,
+            released: 0,
         }
     }
 
@@ -91,6 +95,9 @@
                 cluster.pass(Duration::from_millis(random::below(6))).await;
             }
             self.at_machines(kind, cluster, ledger).await;
+            if self.shape.servers_call_any_control {
+                self.call_any_control(cluster, engines);
+            }
             if beside {
                 engines.iter().for_each(|engine| engine.misbehave(0, &[]));
             }
@@ -170,6 +177,8 @@
                 cluster.hang_up(&all[random::below(all.len() as u64) as usize]);
             }
             Kind::ReuseAddress => self.reuse_address(cluster, ledger, engines).await,
+            Kind::LateHeartbeat => self.deliver_late_heartbeat(cluster, engines).await,
+            Kind::DeregisterEngine => self.replace_engine(cluster, ledger, engines).await,
             // One stays.
             Kind::DrainEngine if self.drained + 1 < engines.len() => {
                 let engine = &engines[self.drained];
@@ -239,6 +248,8 @@
                 self.counted.push(format!("storage-{number}"));
                 cluster.pass(CATCH_UP).await;
             }
+            Kind::FreezeFrontAddStores => self.add_stores_beside_frozen(drawn.front, cluster).await,
+            Kind::AddControl => self.add_control(cluster, ledger).await,
             Kind::TurnSeedsOver => {
                 let core = self.of_class("core");
                 let seeds: Vec<&str> = core.iter().rev().take(2).map(String::as_str).collect();
--- a/tier/simulation/src/chaos/kinds.rs
+++ b/tier/simulation/src/chaos/kinds.rs
@@ -57,12 +57,20 @@
     RetireAndWipe,
     /// A store is added.
     AddStore,
+    /// A proxy stands still while two stores are added.
+    FreezeFrontAddStores,
+    /// A spare control machine is added, which is no member while the group is complete.
+    AddControl,
     /// The settings name other seeds.
     TurnSeedsOver,
     /// A process gets SIGHUP.
     HangUp,
     /// A server is leaving.
     DrainEngine,
+    /// A server leaves without draining before, and serves on for a while; another one has started.
+    DeregisterEngine,
+    /// A heartbeat of a server comes late, to any control machine.
+    LateHeartbeat,
     /// A server runs requests and loses their answers.
     LoseAnswers,
     /// Servers answer early, late, twice, spoilt or not at all.
@@ -95,8 +103,39 @@
         Kind::AddStore,
     ];
 
-    /// All of them.
-    pub const ALL: [Kind; 34] = [
+    /// Those by which processes that know old state only go on with it: control machines that are no members, proxies
+    /// and members that stood still, heartbeats and ends of servers that come late or to any control machine.
+    pub const OF_STALE_STATE: [Kind; 26] = [
+        Kind::KillFront,
+        Kind::FreezeFront,
+        Kind::FreezeFrontAddStores,
+        Kind::FreezeFrontAddStores,
+        Kind::ResetConnections,
+        Kind::KillCounted,
+        Kind::WipeCounted,
+        Kind::CutOffCounted,
+        Kind::CutHalves,
+        Kind::FreezeCounted,
+        Kind::FreezeCutOff,
+        Kind::ReplaceCounted,
+        Kind::ReplaceAsPlanned,
+        Kind::KillAllOfTheCore,
+        Kind::Retire,
+        Kind::AddControl,
+        Kind::AddControl,
+        Kind::AddControl,
+        Kind::TurnSeedsOver,
+        Kind::DrainEngine,
+        Kind::DeregisterEngine,
+        Kind::DeregisterEngine,
+        Kind::DeregisterEngine,
+        Kind::LateHeartbeat,
+        Kind::LateHeartbeat,
+        Kind::ReuseAddress,
+    ];
+
+    /// Those of mixed days.
+    pub const MIXED: [Kind; 34] = [
         Kind::KillFront,
         Kind::StopFront,
         Kind::FreezeFront,
@@ -138,6 +177,8 @@
         let at_servers = [
             Kind::HangUp,
             Kind::DrainEngine,
+            Kind::DeregisterEngine,
+            Kind::LateHeartbeat,
             Kind::LoseAnswers,
             Kind::Misbehave,
             Kind::ForgetResting,
@@ -176,9 +217,13 @@
             Kind::Retire => "retire",
             Kind::RetireAndWipe => "retire_and_wipe",
             Kind::AddStore => "add_store",
+            Kind::FreezeFrontAddStores => "freeze_front_add_stores",
+            Kind::AddControl => "add_control",
             Kind::TurnSeedsOver => "turn_seeds_over",
             Kind::HangUp => "hang_up",
             Kind::DrainEngine => "drain_engine",
+            Kind::DeregisterEngine => "deregister_engine",
+            Kind::LateHeartbeat => "late_heartbeat",
             Kind::LoseAnswers => "lose_answers",
             Kind::Misbehave => "misbehave",
             Kind::ForgetResting => "forget_resting",
--- a/tier/simulation/src/chaos/ledger.rs
+++ b/tier/simulation/src/chaos/ledger.rs
@@ -18,7 +18,7 @@
 /// A configuration is in force at proxies in touch within this.
 const COMMIT_DEADLINE: Duration = Duration::from_secs(2);
 /// A machine is in touch where nothing happened to it for so long.
-const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
+pub(super) const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
 
 /// A rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,6 +45,8 @@
     OwnAnswer,
     /// Drained instances are not used.
     DrainedIsUnused,
+    /// Members know the servers that live, and each proxy serves.
+    LiveServersAreKnown,
     /// No process finds one of its own invariants broken.
     NoInvariantOfTheCodeBreaks,
     /// The tier serves again after the last fault.
--- a/tier/simulation/src/chaos/shape.rs
+++ b/tier/simulation/src/chaos/shape.rs
@@ -24,6 +24,9 @@
     pub(super) struck_class: Option<&'static str>,
     /// Whether faults that strike right after an acknowledgement wait for that of a turn, in place of an order's.
     pub(super) strikes_after_turns: bool,
+    /// Whether servers call any control machine, and learn of those that are added. What members know of the servers
+    /// is checked at the end of the day then.
+    pub(super) servers_call_any_control: bool,
 }
 
 impl DayShape {
@@ -35,9 +38,10 @@
         max_turns: 6,
         pause_ms: (10, 100),
         has_sticky_programs: false,
-        kinds: &Kind::ALL,
+        kinds: &Kind::MIXED,
         struck_class: None,
         strikes_after_turns: false,
+        servers_call_any_control: false,
     };
 
     /// Two minutes of programs that pause, several times as long as turns are retained: the early turns of a chain are
@@ -52,6 +56,16 @@
         kinds: &Kind::OF_STORES,
         struck_class: Some("storage"),
         strikes_after_turns: true,
+        servers_call_any_control: false,
+    };
+
+    /// Two minutes, twice as long as a silent server is remembered, in which processes go on with what they knew before
+    /// they stood still, were cut off or were replaced, and servers call whatever control machine there is.
+    pub const STALE_STATE: DayShape = DayShape {
+        load: Duration::from_secs(120),
+        kinds: &Kind::OF_STALE_STATE,
+        servers_call_any_control: true,
+        ..DayShape::MIXED
     };
 
     /// The shape with this name, as `simulate-tier --days` takes it.
@@ -59,6 +73,7 @@
         match name {
             "mixed" => Some(DayShape::MIXED),
             "long-chains" => Some(DayShape::LONG_CHAINS),
+            "stale-state" => Some(DayShape::STALE_STATE),
             _ => None,
         }
     }
--- a/tier/simulation/tests/chaos.rs
+++ b/tier/simulation/tests/chaos.rs
@@ -21,6 +21,17 @@
     }
 }
 
+/// Guards against processes that go on with what they knew: proxies and members that stood still, control machines
+/// that are no members, heartbeats that come late.
+#[test]
+fn random_days_of_stale_state_keep_the_rules() {
+    for seed in 1..=2 {
+        let report = chaos::play_shaped(seed, DayShape::STALE_STATE);
+        assert!(report.violations.is_empty(), "seed {seed}: {:?}\n{}", report.violations, report.timeline);
+        assert!(report.served > 500, "seed {seed} served {}", report.served);
+    }
+}
+
 #[test]
 fn a_seed_plays_the_same_day_again() {
     assert_eq!(chaos::play(4).timeline, chaos::play(4).timeline);
--- a/tier/simulation/tests/heartbeats.rs
+++ b/tier/simulation/tests/heartbeats.rs
@@ -1,5 +1,6 @@
 //! Heartbeats that come late, and instances that are silent for long: neither ends an instance that lives.
 
+use pointcross_tier_runtime::fault_injection::{self, InjectedFault};
 use pointcross_tier_simulation::{Cluster, Engine, SERVICE, Turn, run};
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -29,16 +30,31 @@
     statuses
 }
 
-/// A heartbeat is held up until after the instance has called another member and stays there.
-#[test]
-fn a_late_heartbeat_ends_no_instance() {
+/// A heartbeat is held up until after the instance has called another member and stays there. What proxies answer
+/// once the instance would be forgotten by that heartbeat.
+fn answers_after_a_late_heartbeat() -> Vec<u16> {
     run(81, async {
         let (cluster, engine) = serving(&["core-2"]).await;
         let late = engine.call_seq() - 1;
         engine.send_heartbeat(cluster.control_address("core-1"), late).await;
         cluster.pass(EXPIRED).await;
-        assert_eq!(turns(&cluster, "t").await, [200, 200]);
-    });
+        turns(&cluster, "t").await
+    })
+}
+
+/// Guards against a live instance that is ended for good by a heartbeat that comes late.
+#[test]
+fn a_late_heartbeat_ends_no_instance() {
+    assert_eq!(answers_after_a_late_heartbeat(), [200, 200]);
+}
+
+/// The test above can fail.
+#[test]
+fn a_late_heartbeat_ends_an_instance_where_missing_heartbeats_do() {
+    fault_injection::inject(Some(InjectedFault::EndByMissingHeartbeats));
+    let answers = answers_after_a_late_heartbeat();
+    fault_injection::inject(None);
+    assert_eq!(answers, [503, 503]);
 }
 
 /// The late heartbeat comes before the member has heard of the later call elsewhere.
--- a/tier/simulation/tests/non_members.rs
+++ b/tier/simulation/tests/non_members.rs
@@ -1,6 +1,7 @@
 //! Control processes that are no members of the group: spare machines that were added, members that were
 //! replaced.
 
+use pointcross_tier_runtime::fault_injection::{self, InjectedFault};
 use pointcross_tier_simulation::{Cluster, Engine, SERVICE, Turn, run};
 use std::net::Ipv4Addr;
 use std::time::Duration;
@@ -32,9 +33,9 @@
     statuses
 }
 
-/// Three control machines are added to a complete group. They become the seeds, and the proxies are restarted.
-#[test]
-fn proxies_whose_seeds_are_no_members_know_the_instances() {
+/// What proxies answer after three control machines were added to a complete group and became the seeds, and the
+/// proxies were restarted.
+fn answers_behind_added_seeds() -> Vec<u16> {
     run(61, async {
         let (mut cluster, _engines) = serving().await;
         for number in 4..=6 {
@@ -47,8 +48,23 @@
             cluster.restart(front);
         }
         cluster.pass(Duration::from_secs(3)).await;
-        assert_eq!(first_turns(&cluster, &["front-1", "front-2"]).await, [200, 200]);
-    });
+        first_turns(&cluster, &["front-1", "front-2"]).await
+    })
+}
+
+/// Guards against proxies that know no instance, since their seeds are control processes outside the group.
+#[test]
+fn proxies_whose_seeds_are_no_members_know_the_instances() {
+    assert_eq!(answers_behind_added_seeds(), [200, 200]);
+}
+
+/// The test above can fail.
+#[test]
+fn proxies_know_no_instances_where_non_members_answer_watches() {
+    fault_injection::inject(Some(InjectedFault::AnswerWatchesAsNonMember));
+    let answers = answers_behind_added_seeds();
+    fault_injection::inject(None);
+    assert_eq!(answers, [503, 503]);
 }
 
 /// A member stands still, and a spare machine takes its place. It goes on, and is a seed of proxies that
@@ -110,18 +126,32 @@
     leaving.ran().iter().filter(|ran| ran.at > drained).count()
 }
 
-/// An instance that leaves without a word before calls an added machine that is no member.
-#[test]
-fn a_deregister_at_an_added_machine_is_not_lost() {
+/// An instance that leaves without a word before calls an added machine that is no member. Requests that it runs
+/// after DrainMs.
+fn runs_after_a_deregister_at_an_added_machine() -> usize {
     run(64, async {
         let (mut cluster, engines) = serving().await;
         cluster.add("core", 4, false);
         cluster.pass(Duration::from_secs(6)).await;
         engines[0].call_control(["core-4", "core-1"].map(|name| cluster.control_address(name)).to_vec());
         engines[0].deregister().await;
-        let late = runs_after_drain(&cluster, &engines[0], tokio::time::Instant::now()).await;
-        assert_eq!(late, 0, "nothing reaches it after DrainMs");
-    });
+        runs_after_drain(&cluster, &engines[0], tokio::time::Instant::now()).await
+    })
+}
+
+/// Guards against a Deregister that is acknowledged by a process outside the group and has no effect.
+#[test]
+fn a_deregister_at_an_added_machine_is_not_lost() {
+    assert_eq!(runs_after_a_deregister_at_an_added_machine(), 0, "nothing reaches it after DrainMs");
+}
+
+/// The test above can fail.
+#[test]
+fn a_deregister_is_lost_where_unknown_instances_are_passed_over() {
+    fault_injection::inject(Some(InjectedFault::ForgetUnknownDeregister));
+    let late = runs_after_a_deregister_at_an_added_machine();
+    fault_injection::inject(None);
+    assert!(late > 0, "requests reach it after DrainMs");
 }
 
 /// All members are killed at once, which leaves them without any instance. The first call of one is that it
