Share the client connection and reading request of the two load tools

The load tool and the traffic measurement opened connections and wrote the same request, each for itself; both use experiments/src/client_connection.rs now. Requests are the same to the byte, the data set's number and the piece's included. The package's tests and lints pass; the two tools were not run by hand.

--- a/experiments/src/lib.rs
+++ b/experiments/src/lib.rs
@@ -6,6 +6,7 @@
 //! real sockets.
 #![warn(missing_docs)]
 
+mod client_connection;
 pub mod experiment;
 pub mod ledger;
 pub mod load;
--- a/experiments/src/load.rs
+++ b/experiments/src/load.rs
@@ -2,11 +2,12 @@
 //! run from when a request was meant to go out, so that a scheduler that stalls is charged for all that it held up
 //! (coordinated omission). Beside it, nodes that answer at once, and a scheduler of one's own to measure.
 
+use crate::client_connection::{ReadingRequest, Sender, connect, send};
 use crate::script::Script;
 use crate::virtual_time::settings;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use http_body_util::{BodyExt, Empty, Full};
+use http_body_util::{BodyExt, Full};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -134,8 +135,6 @@
     }
 }
 
-type Sender = hyper::client::conn::http1::SendRequest<Empty<Bytes>>;
-
 async fn ask(
     sender: &mut Option<Sender>,
     address: SocketAddr,
@@ -143,28 +142,12 @@
     shards: u32,
 ) -> Option<StatusCode> {
     if sender.as_ref().is_none_or(Sender::is_closed) {
-        let stream = TcpStream::connect(address).await.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let (opened, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
-        tokio::spawn(connection);
-        *sender = Some(opened);
+        *sender = Some(connect(address).await?);
     }
-    let sender = sender.as_mut()?;
-    let (volume, shard) = (number % 97 + 1, number % u64::from(shards.max(1)));
-    let request = Request::get(format!("/reading-get/{volume:016x}/{:016x}", number + 1))
-        .header("host", address.to_string())
-        .header("x-correlation-id", format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
-        .header("x-service-class", "reading-get")
-        .header("tier", "standard")
-        .header("x-time-left", "5000m")
-        .header("io-info", format!("units=1,shard={shard},hosts=1"))
-        .body(Empty::new())
-        .ok()?;
-    sender.ready().await.ok()?;
-    let response = sender.send_request(request).await.ok()?;
-    let status = response.status();
-    response.into_body().collect().await.ok()?;
-    Some(status)
+    let host = address.to_string();
+    let shard = number % u64::from(shards.max(1));
+    let reading = ReadingRequest { host: &host, number, piece: number + 1, shard };
+    send(sender.as_mut()?, reading).await
 }
 
 /// Starts nodes that answer at once; they serve for as long as the runtime that this is called on.
--- a/experiments/src/traffic.rs
+++ b/experiments/src/traffic.rs
@@ -4,13 +4,13 @@
 //! Load is open loop: times run from when a request was meant to go out, as in [`crate::load`]. Clients and nodes share
 //! the calling runtime; how late they were themselves is told with each point, so that the tool's own limit is seen.
 
+use crate::client_connection::{ReadingRequest, Sender, connect, send};
 use crate::load::LoadError;
 use crate::script::Script;
 use crate::virtual_time::settings;
 use bytes::Bytes;
 use hdrhistogram::Histogram;
-use http_body_util::{BodyExt, Empty, Full};
-use hyper::client::conn::http1::SendRequest;
+use http_body_util::{BodyExt, Full};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -382,8 +382,6 @@
     }
 }
 
-type Sender = SendRequest<Empty<Bytes>>;
-
 /// What clients counted; of requests meant before the window only connections are.
 #[derive(Default)]
 struct Tally {
@@ -409,14 +407,6 @@
     tally: Arc<Tally>,
 }
 
-async fn opened(address: SocketAddr) -> Option<Sender> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (opened, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.ok()?;
-    tokio::spawn(connection);
-    Some(opened)
-}
-
 impl Clients {
     async fn ask(&self, sender: &mut Option<Sender>, shard: u32) -> Option<StatusCode> {
         if sender.as_ref().is_none_or(Sender::is_closed) {
@@ -424,24 +414,12 @@
             if sender.take().is_some() {
                 self.tally.reconnects.fetch_add(1, Ordering::Relaxed);
             }
-            *sender = Some(opened(self.address).await?);
+            *sender = Some(connect(self.address).await?);
         }
-        let sender = sender.as_mut()?;
         let number = self.tally.number.fetch_add(1, Ordering::Relaxed) + 1;
-        let request = Request::get(format!("/reading-get/{:016x}/{number:016x}", number % 97 + 1))
-            .header("host", "pointcross.internal")
-            .header("x-correlation-id", format!("{:016x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
-            .header("x-service-class", "reading-get")
-            .header("tier", "standard")
-            .header("x-time-left", "5000m")
-            .header("io-info", format!("units=1,shard={shard},hosts=1"))
-            .body(Empty::new())
-            .ok()?;
-        sender.ready().await.ok()?;
-        let response = sender.send_request(request).await.ok()?;
-        let status = response.status();
-        response.into_body().collect().await.ok()?;
-        Some(status)
+        let reading =
+            ReadingRequest { host: "pointcross.internal", number, piece: number, shard: shard.into() };
+        send(sender.as_mut()?, reading).await
     }
 
     /// One connection's life; gives the connection back where it is still open.
