--- a/tier/simulation/src/chaos/faults.rs
+++ b/tier/simulation/src/chaos/faults.rs
@@ -86,7 +86,7 @@
                 self.at_servers(kind, cluster, ledger, engines).await;
             }
             if self.shape.servers_call_any_control {
-                self.call_any_control(cluster, engines);
+                self.publish_control_machines(cluster, engines);
             }
         }
     }
--- a/tier/simulation/src/chaos/stale_state.rs
+++ b/tier/simulation/src/chaos/stale_state.rs
@@ -14,6 +14,8 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Seeds that the settings name.
+const MAX_SEEDS: usize = 3;
 /// A late heartbeat is at most so many calls behind the newest one.
 const MAX_CALLS_BEHIND: u64 = 4;
 /// A server that has left serves on for so long.
@@ -41,11 +43,18 @@
         addresses
     }
 
-    /// Servers call any control machine from now on.
-    pub(super) fn call_any_control(&self, cluster: &Cluster, engines: &[Engine]) {
+    /// The operators' list of control machines is what it is now: servers call any of them, and the settings name
+    /// others where all seeds have left.
+    pub(super) fn publish_control_machines(&self, cluster: &mut Cluster, engines: &[Engine]) {
         for engine in engines {
             engine.call_control(self.control_addresses(cluster));
         }
+        let addresses = self.control_addresses(cluster);
+        if !cluster.control_addresses().iter().any(|seed| addresses.contains(seed)) {
+            let core = self.of_class("core");
+            let seeds: Vec<&str> = core.iter().take(MAX_SEEDS).map(String::as_str).collect();
+            cluster.turn_seeds_over(&seeds, false);
+        }
     }
 
     /// A spare control machine is added. Callers learn of it.
