--- a/tier/simulation/src/chaos/faults.rs
+++ b/tier/simulation/src/chaos/faults.rs
@@ -29,7 +29,7 @@
 /// The faults of a day.
 pub struct FaultPlan {
     counts: BTreeMap<&'static str, usize>,
-    shape: DayShape,
+    pub(super) shape: DayShape,
     pub(super) size: Size,
     /// The machines that count, as they are now.
     pub(super) counted: Vec<String>,
@@ -259,7 +259,7 @@
                 self.counted.push(format!("storage-{number}"));
                 cluster.pass(CATCH_UP).await;
             }
-            Kind::FreezeFrontAddStores => self.add_stores_beside_frozen(drawn.front, cluster).await,
+            Kind::FreezeFrontAddStores => self.add_stores_beside_frozen(drawn.front, cluster, ledger).await,
             Kind::AddControl => self.add_control(cluster, ledger).await,
             Kind::TurnSeedsOver => {
                 let core = self.of_class("core");
--- a/tier/simulation/src/chaos/load.rs
+++ b/tier/simulation/src/chaos/load.rs
@@ -100,7 +100,7 @@
     budget: u64,
     previous: Option<&'a AnsweredTurn>,
     /// The proxy that it is sent to; `None` for either one.
-    front: Option<&'static str>,
+    front: Option<&'a str>,
 }
 
 async fn take_turn(caller: &Caller, ledger: &Ledger, next: &NextTurn<'_>) -> Outcome {
@@ -160,6 +160,24 @@
     }
 }
 
+/// Takes the first two turns of a program, each at a proxy of its own.
+pub async fn take_two_turns(caller: Caller, ledger: Rc<Ledger>, program: String, fronts: [String; 2]) {
+    let mut previous = None;
+    for (turn, front) in fronts.iter().enumerate() {
+        let id = format!("{program}.{turn}.0");
+        let next = NextTurn {
+            program: &program,
+            id: &id,
+            stored: true,
+            budget: TURN_TOKENS * 4,
+            previous: previous.as_ref(),
+            front: Some(front),
+        };
+        let Outcome::Answered(answered) = take_turn(&caller, &ledger, &next).await else { return };
+        previous = Some(answered);
+    }
+}
+
 /// Changes the configuration again and again, at times two operators at once on one version, under one number or two,
 /// and at times many changes in a row.
 pub async fn operate(caller: Caller, ledger: Rc<Ledger>, stop_at: Instant) {
--- a/tier/simulation/src/chaos/stale_state.rs
+++ b/tier/simulation/src/chaos/stale_state.rs
@@ -5,6 +5,7 @@
 use crate::caller::{Caller, Turn};
 use crate::chaos::faults::{CATCH_UP, FRONTS, FaultPlan, some_time};
 use crate::chaos::ledger::{IN_TOUCH_AFTER, Invariant, Ledger};
+use crate::chaos::load;
 use crate::cluster::Cluster;
 use crate::engine::Engine;
 use pointcross_tier_protocol::{Instance, InstanceState};
@@ -12,10 +13,15 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
 
 /// Seeds that the settings name.
 const MAX_SEEDS: usize = 3;
+/// Machines that were added take part within this.
+const ADDED_WITHIN: Duration = Duration::from_secs(1);
+/// Programs whose next turns wait at a proxy that stands still: enough that some have both copies on added stores.
+const PROGRAMS_BESIDE: usize = 12;
 /// A late heartbeat is at most so many calls behind the newest one.
 const MAX_CALLS_BEHIND: u64 = 4;
 /// A server that has left serves on for so long.
@@ -66,16 +72,35 @@
         cluster.pass(CATCH_UP).await;
     }
 
-    /// A proxy stands still while two stores are added, and requests wait in its sockets.
-    pub(super) async fn add_stores_beside_frozen(&mut self, front: &str, cluster: &mut Cluster) {
-        cluster.freeze(front);
-        for _ in 0..2 {
-            let number = self.next_number();
+    /// A proxy stands still while two stores are added, and a proxy in the zone of one of them, which answers the first
+    /// turns of some programs. Their next turns wait in the sockets of the one that stands still.
+    pub(super) async fn add_stores_beside_frozen(
+        &mut self,
+        frozen: &str,
+        cluster: &mut Cluster,
+        ledger: &Rc<Ledger>,
+    ) {
+        cluster.freeze(frozen);
+        let numbers = [self.next_number(), self.next_number()];
+        for number in numbers {
             cluster.add("storage", number, false);
             self.counted.push(format!("storage-{number}"));
         }
-        cluster.pass(some_time(500, 4000)).await;
-        cluster.thaw(front);
+        let added = format!("front-{}", numbers[0]);
+        cluster.add("front", numbers[0], false);
+        cluster.pass(ADDED_WITHIN).await;
+        let caller = cluster.caller().with_retention(self.shape.retention);
+        let take_two_turns = |program| {
+            let (program, fronts) = (format!("beside-{added}.{program}"), [added.clone(), frozen.to_owned()]);
+            spawn_local(load::take_two_turns(caller.clone(), ledger.clone(), program, fronts))
+        };
+        let programs: Vec<JoinHandle<()>> = (0..PROGRAMS_BESIDE).map(take_two_turns).collect();
+        cluster.pass(some_time(500, 2500)).await;
+        cluster.thaw(frozen);
+        for program in programs {
+            let _ = program.await;
+        }
+        cluster.kill(&added);
         cluster.pass(CATCH_UP).await;
     }
 
