Count requests to a machine that is out by the plan's times, not behind the views

The known-red plan test counted a node's requests after the schedulers' views had come in, which takes 0.3 s and more on a busy machine: a node that was given back meanwhile counts for what it was rightly sent.

The check is replaced by one as strict: the plan's entries bear the time at which each phase began, and nodes log requests by 10 ms. Counted is from the beginning of the phase Out to that of the next one; before it was from the first look at it to the last, some 0.1 s less at either end. Only where the next phase was never seen the last look counts.

--- a/cluster-harness/src/ledger.rs
+++ b/cluster-harness/src/ledger.rs
@@ -32,6 +32,14 @@
         self.0.iter().map(|&calls| u64::from(calls)).sum()
     }
 
+    /// The calls in the slots that lie between these times as a whole.
+    pub fn between(&self, from: Duration, until: Duration) -> u64 {
+        let first = from.as_millis().div_ceil(SLOT.as_millis()) as usize;
+        let end = ((until.as_millis() / SLOT.as_millis()) as usize).min(self.0.len());
+        let slots = self.0.get(first..end).unwrap_or_default();
+        slots.iter().map(|&calls| u64::from(calls)).sum()
+    }
+
     /// The most calls in any second, reckoned over every window of 100 slots.
     pub fn peak_per_second(&self) -> u64 {
         let width = (Duration::from_secs(1).as_millis() / SLOT.as_millis()) as usize;
--- a/cluster-harness/src/lib.rs
+++ b/cluster-harness/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod link;
 pub mod list;
 pub mod node;
+pub mod out_periods;
 pub mod plan;
 pub mod process;
 pub mod scale;
--- a/cluster-harness/src/node.rs
+++ b/cluster-harness/src/node.rs
@@ -17,7 +17,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -157,6 +157,15 @@
         *self.inner.held.lock().unwrap()
     }
 
+    /// The requests that came to it between two times, in Unix milliseconds. Slots of the log that are in this time
+    /// in part are left out.
+    pub fn calls_between(&self, from_ms: u64, until_ms: u64) -> u64 {
+        let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let epoch = now_ms.saturating_sub(self.inner.epoch.elapsed());
+        let since_epoch = |at_ms| Duration::from_millis(at_ms).saturating_sub(epoch);
+        self.log(|log| log.calls.between(since_epoch(from_ms), since_epoch(until_ms)))
+    }
+
     /// Reads its log.
     pub fn log<R>(&self, read: impl FnOnce(&NodeLog) -> R) -> R {
         read(&self.inner.log.lock().unwrap())
--- a/cluster-harness/src/plan.rs
+++ b/cluster-harness/src/plan.rs
@@ -2,9 +2,11 @@
 //! goes on.
 //!
 //! The rig asks every scheduler for its view, past the links, and holds the views against each other and against the
-//! nodes' own counts: a request that comes to a node while the newest view has it out is counted.
+//! nodes' own counts: a request that comes to a node while it is out, by the times that the plan itself bears, is
+//! counted.
 
 use crate::node::Node;
+use crate::out_periods::OutPeriods;
 use pointcross_coordination::driver::PlanReport;
 use pointcross_coordination::maintenance::decide::{DrainPhase, Machine};
 use pointcross_coordination::wire::Caller;
@@ -89,8 +91,8 @@
     verdict: PlanVerdict,
     newest: Option<PlanReport>,
     came_out: BTreeSet<Machine>,
-    /// The calls that a node had when it was first seen out, and the round of that.
-    quiet: BTreeMap<String, (u64, u64)>,
+    /// When each node was out.
+    out_periods: BTreeMap<String, OutPeriods>,
 }
 
 /// How far a view has come: views of one log can be put in order by it.
@@ -157,7 +159,7 @@
 
     fn note(&self, views: Vec<PlanReport>) {
         let mut seen = self.seen.lock().unwrap();
-        let Seen { verdict, newest, came_out, quiet } = &mut *seen;
+        let Seen { verdict, newest, came_out, out_periods } = &mut *seen;
         verdict.looks += 1;
         let mut holders = BTreeSet::new();
         for view in &views {
@@ -181,18 +183,8 @@
             let entry = view.plan.machines.get(&machine);
             let counts = entry.is_some_and(|entry| entry.phase.is_unavailable());
             *left.entry(node.shard()).or_default() += usize::from(!counts);
-            match entry.filter(|entry| entry.phase == DrainPhase::Out) {
-                None => drop(quiet.remove(name)),
-                Some(entry) => {
-                    let calls = node.log(|log| log.calls.total());
-                    let (round, first) = *quiet.entry(name.clone()).or_insert((entry.round, calls));
-                    if round == entry.round && calls > first {
-                        verdict.sent_while_out += calls - first;
-                        quiet.insert(name.clone(), (round, calls));
-                    } else if round != entry.round {
-                        quiet.insert(name.clone(), (entry.round, calls));
-                    }
-                }
+            if let Some(entry) = entry {
+                out_periods.entry(name.clone()).or_default().observe(entry, view.now);
             }
         }
         verdict.reserve_breaks += left.values().filter(|&&left| left == 0).count();
@@ -220,6 +212,15 @@
 
     /// What came of it so far.
     pub fn verdict(&self) -> PlanVerdict {
-        self.seen.lock().unwrap().verdict.clone()
+        let seen = self.seen.lock().unwrap();
+        PlanVerdict { sent_while_out: self.count_sent_while_out(&seen), ..seen.verdict.clone() }
+    }
+
+    fn count_sent_while_out(&self, seen: &Seen) -> u64 {
+        let calls = self.nodes.iter().flat_map(|(name, node)| {
+            let periods = seen.out_periods.get(name).into_iter().flat_map(OutPeriods::periods);
+            periods.map(|period| node.calls_between(period.from, period.until))
+        });
+        calls.sum()
     }
 }
